--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+GO ?= go
+BIN := bin
+
+.PHONY: build test lint fmt-check proto demo faults bench slopes
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/... ./standin/cmd/...
+
+# The command that CI runs: format, lint, tests. Needs no kit.
+test: fmt-check lint
+	$(GO) test -timeout 600s ./...
+
+fmt-check:
+	@out=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go')); if [ -n "$$out" ]; then echo "gofmt differs:"; echo "$$out"; exit 1; fi
+
+lint:
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# Regenerates the committed protobuf code; needs protoc (Debian: protobuf-compiler).
+proto:
+	mkdir -p $(BIN)
+	GOBIN=$(CURDIR)/$(BIN) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
+	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative api/*.proto
+	gofmt -w api/*.go
+
+demo: build
+	scripts/demo.sh
+
+SEED ?= 1
+MINUTES ?= 2
+
+faults: build
+	scripts/faults.sh $(SEED) $(MINUTES)
+
+bench: build
+	scripts/bench.sh $(SEED)
+
+slopes: build
+	scripts/slopes.sh
--- /dev/null
+++ b/internal/resultcode/twirp.go
@@ -0,0 +1,54 @@
+package resultcode
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/twitchtv/twirp"
+)
+
+// Keys of the twirp error metadata that carry an Error between processes.
+const (
+	metaCode       = "code"
+	metaExecution  = "execution"
+	metaRetryAfter = "retry_after_ms"
+)
+
+// ToTwirp converts err for an answer between the system's own processes.
+func ToTwirp(err error) error {
+	if err == nil {
+		return nil
+	}
+	e := From(err)
+	te := twirp.NewError(twirp.FailedPrecondition, e.Message).
+		WithMeta(metaCode, strconv.Itoa(int(e.Code))).
+		WithMeta(metaExecution, string(e.Execution))
+	if e.RetryAfter > 0 {
+		te = te.WithMeta(metaRetryAfter, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
+	}
+	return te
+}
+
+// FromTwirp restores the Error that ToTwirp sent. Errors of the transport
+// become ControlUnavailable with unknown execution, since the call may have
+// been carried out.
+func FromTwirp(err error) error {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return err
+	}
+	var te twirp.Error
+	if !errors.As(err, &te) || te.Meta(metaCode) == "" {
+		return &Error{Code: ControlUnavailable, Execution: Unknown, Message: err.Error()}
+	}
+	code, convErr := strconv.Atoi(te.Meta(metaCode))
+	if convErr != nil {
+		return &Error{Code: Internal, Execution: Unknown, Message: te.Msg()}
+	}
+	e := &Error{Code: Code(code), Execution: Execution(te.Meta(metaExecution)), Message: te.Msg()}
+	if ms, convErr := strconv.ParseInt(te.Meta(metaRetryAfter), 10, 64); convErr == nil {
+		e.RetryAfter = time.Duration(ms) * time.Millisecond
+	}
+	return e
+}
--- /dev/null
+++ b/internal/settings/parse.go
@@ -0,0 +1,289 @@
+package settings
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+
+	"github.com/endivetrack/endivetrack/internal/peerauth"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// Bounds on a subtree, checked before acceptance.
+const (
+	MaxBytes          = 1 << 20
+	maxAccounts       = 10_000
+	maxServices       = 256
+	maxFailureDomains = 64
+	maxShards         = 256
+	maxBodyBytes      = 16 << 20
+	maxPriority       = 9
+	maxTokensLimit    = 1 << 20
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Parse decodes and checks a subtree. file names the source in errors, which
+// give the file, the key and the offending value, and carry a result code.
+func Parse(file string, text []byte) (*Team, error) {
+	if len(text) > MaxBytes {
+		return nil, resultcode.Newf(resultcode.SettingsInvalid, "%s: %d bytes, at most %d", file, len(text), MaxBytes)
+	}
+	var t Team
+	meta, err := toml.Decode(string(text), &t)
+	if err != nil {
+		return nil, decodeError(file, err)
+	}
+	if undecoded := meta.Undecoded(); len(undecoded) > 0 {
+		return nil, resultcode.Newf(resultcode.SettingsUnknownKey, "%s: key %q is unknown", file, undecoded[0].String())
+	}
+	t.applyDefaults()
+	if err := (&checker{file: file}).team(&t); err != nil {
+		return nil, err
+	}
+	return &t, nil
+}
+
+func decodeError(file string, err error) error {
+	var perr toml.ParseError
+	if errors.As(err, &perr) {
+		return resultcode.Newf(resultcode.SettingsMalformed, "%s: line %d: key %q: %s", file, perr.Position.Line, perr.LastKey, perr.Message)
+	}
+	return resultcode.Newf(resultcode.SettingsMalformed, "%s: %v", file, err)
+}
+
+func (t *Team) applyDefaults() {
+	for name, s := range t.Services {
+		s.Shards = cmp.Or(s.Shards, 1)
+		s.MaxBodyBytes = cmp.Or(s.MaxBodyBytes, 1<<20)
+		s.MaxInFlight = cmp.Or(s.MaxInFlight, 32)
+		s.CallTimeoutMS = cmp.Or(s.CallTimeoutMS, 10_000)
+		t.Services[name] = s
+	}
+	for name, c := range t.Classes {
+		c.QueueTimeoutMS = cmp.Or(c.QueueTimeoutMS, 10_000)
+		c.MaxTokens = cmp.Or(c.MaxTokens, 32_768)
+		t.Classes[name] = c
+	}
+	for name, a := range t.Accounts {
+		a.Weight = cmp.Or(a.Weight, 1)
+		a.RatePerSecond = cmp.Or(a.RatePerSecond, 100)
+		a.Burst = cmp.Or(a.Burst, 200)
+		a.MaxInFlight = cmp.Or(a.MaxInFlight, 256)
+		t.Accounts[name] = a
+	}
+	p := &t.Policy
+	p.TargetGapMS = cmp.Or(p.TargetGapMS, 31)
+	p.CrossRegionBytesPerSecond = cmp.Or(p.CrossRegionBytesPerSecond, 1_000_000)
+	p.RetryPercent = cmp.Or(p.RetryPercent, 10)
+	p.QueueLimit = cmp.Or(p.QueueLimit, 4096)
+	p.MaxConcurrentLoads = cmp.Or(p.MaxConcurrentLoads, 2)
+	p.ReplayHours = cmp.Or(p.ReplayHours, 24)
+}
+
+// checker collects the first violation with its place.
+type checker struct {
+	file string
+}
+
+func (c *checker) fail(key string, value any, rule string) error {
+	return resultcode.Newf(resultcode.SettingsInvalid, "%s: key %q: value %q: %s", c.file, key, fmt.Sprint(value), rule)
+}
+
+func (c *checker) inRange(key string, v, lo, hi float64) error {
+	if v < lo || v > hi || v != v {
+		return c.fail(key, v, fmt.Sprintf("must be from %v to %v", lo, hi))
+	}
+	return nil
+}
+
+func (c *checker) digests(key string, ds []string, required bool) error {
+	if required && len(ds) == 0 {
+		return c.fail(key, "", "needs at least one SHA-256 digest")
+	}
+	for _, d := range ds {
+		if !peerauth.ValidDigest(d) {
+			return c.fail(key, d, "must be a lower-case hex SHA-256 digest")
+		}
+	}
+	return nil
+}
+
+func (c *checker) names(prefix string, names []string, most int) error {
+	if len(names) > most {
+		return c.fail(prefix, len(names), fmt.Sprintf("at most %d entries", most))
+	}
+	for _, n := range names {
+		if !namePattern.MatchString(n) {
+			return c.fail(prefix, n, "must match "+namePattern.String())
+		}
+	}
+	return nil
+}
+
+func (c *checker) team(t *Team) error {
+	return firstError(
+		func() error { return c.names("team", []string{t.Team}, 1) },
+		func() error { return c.digests("operator_key_sha256", t.OperatorKeySHA256, true) },
+		func() error { return c.failureDomains(t) },
+		func() error { return c.services(t) },
+		func() error { return c.classes(t) },
+		func() error { return c.accounts(t) },
+		func() error { return c.policy(t.Policy) },
+	)
+}
+
+func (c *checker) failureDomains(t *Team) error {
+	names := sortedKeys(t.FailureDomains)
+	if len(names) == 0 {
+		return c.fail("failure_domains", "", "needs at least one")
+	}
+	if err := c.names("failure_domains", names, maxFailureDomains); err != nil {
+		return err
+	}
+	for _, n := range names {
+		if err := c.names("failure_domains."+n+".region", []string{t.FailureDomains[n].Region}, 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *checker) services(t *Team) error {
+	names := sortedKeys(t.Services)
+	if err := c.names("services", names, maxServices); err != nil {
+		return err
+	}
+	owner := map[string]string{}
+	for _, n := range names {
+		if err := c.service("services."+n, t.Services[n]); err != nil {
+			return err
+		}
+		for _, m := range t.Services[n].Models {
+			if other, taken := owner[m]; taken {
+				return c.fail("services."+n+".models", m, "already served by service "+other)
+			}
+			owner[m] = n
+		}
+	}
+	return nil
+}
+
+func (c *checker) service(key string, s Service) error {
+	if s.Kind != KindEngine && s.Kind != KindPlain {
+		return c.fail(key+".kind", s.Kind, `must be "engine" or "plain"`)
+	}
+	if s.Kind == KindEngine && len(s.Models) == 0 {
+		return c.fail(key+".models", "", "an engine service needs at least one model")
+	}
+	if s.Kind == KindEngine && len(s.ProtectedPaths) > 0 {
+		return c.fail(key+".protected_paths", s.ProtectedPaths[0], "only plain services have protected paths")
+	}
+	for _, p := range s.ProtectedPaths {
+		if !strings.HasPrefix(p, "/") {
+			return c.fail(key+".protected_paths", p, "must start with /")
+		}
+	}
+	for _, m := range s.DesiredModels {
+		if !slices.Contains(s.Models, m) {
+			return c.fail(key+".desired_models", m, "is not in models")
+		}
+	}
+	return firstError(
+		func() error { return c.digests(key+".target_key_sha256", s.TargetKeySHA256, true) },
+		func() error { return c.names(key+".models", s.Models, maxServices) },
+		func() error { return c.names(key+".drained_targets", s.DrainedTargets, 4096) },
+		func() error { return c.inRange(key+".shards", float64(s.Shards), 1, maxShards) },
+		func() error { return c.inRange(key+".max_body_bytes", float64(s.MaxBodyBytes), 1, maxBodyBytes) },
+		func() error { return c.inRange(key+".max_in_flight", float64(s.MaxInFlight), 1, 100_000) },
+		func() error { return c.inRange(key+".call_timeout_ms", float64(s.CallTimeoutMS), 1, 600_000) },
+	)
+}
+
+func (c *checker) classes(t *Team) error {
+	names := sortedKeys(t.Classes)
+	if err := c.names("classes", names, 256); err != nil {
+		return err
+	}
+	for _, n := range names {
+		cl, key := t.Classes[n], "classes."+n
+		err := firstError(
+			func() error { return c.inRange(key+".priority", float64(cl.Priority), 0, maxPriority) },
+			func() error { return c.inRange(key+".queue_timeout_ms", float64(cl.QueueTimeoutMS), 1, 600_000) },
+			func() error { return c.inRange(key+".max_tokens", float64(cl.MaxTokens), 1, maxTokensLimit) },
+		)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *checker) accounts(t *Team) error {
+	names := sortedKeys(t.Accounts)
+	if err := c.names("accounts", names, maxAccounts); err != nil {
+		return err
+	}
+	owner := map[string]string{}
+	for _, n := range names {
+		if err := c.account(t, n, t.Accounts[n]); err != nil {
+			return err
+		}
+		for _, d := range t.Accounts[n].KeySHA256 {
+			if other, taken := owner[d]; taken {
+				return c.fail("accounts."+n+".key_sha256", d, "is also the key of account "+other)
+			}
+			owner[d] = n
+		}
+	}
+	return nil
+}
+
+func (c *checker) account(t *Team, name string, a ClientAccount) error {
+	key := "accounts." + name
+	if _, ok := t.Classes[a.DefaultClass]; !ok {
+		return c.fail(key+".default_class", a.DefaultClass, "is not a class")
+	}
+	for _, s := range a.Services {
+		if _, ok := t.Services[s]; !ok {
+			return c.fail(key+".services", s, "is not a service")
+		}
+	}
+	return firstError(
+		func() error { return c.digests(key+".key_sha256", a.KeySHA256, true) },
+		func() error { return c.inRange(key+".weight", float64(a.Weight), 1, 1000) },
+		func() error { return c.inRange(key+".rate_per_second", a.RatePerSecond, 0.001, 1e6) },
+		func() error { return c.inRange(key+".burst", float64(a.Burst), 1, 1e6) },
+		func() error { return c.inRange(key+".max_in_flight", float64(a.MaxInFlight), 1, 1e6) },
+	)
+}
+
+func (c *checker) policy(p Policy) error {
+	return firstError(
+		func() error { return c.inRange("policy.target_gap_ms", p.TargetGapMS, 1, 10_000) },
+		func() error {
+			return c.inRange("policy.cross_region_bytes_per_second", float64(p.CrossRegionBytesPerSecond), 1, 1e12)
+		},
+		func() error { return c.inRange("policy.retry_percent", float64(p.RetryPercent), 0, 100) },
+		func() error { return c.inRange("policy.queue_limit", float64(p.QueueLimit), 1, 1_000_000) },
+		func() error { return c.inRange("policy.max_concurrent_loads", float64(p.MaxConcurrentLoads), 1, 1000) },
+		func() error { return c.inRange("policy.replay_hours", float64(p.ReplayHours), 1, 8760) },
+	)
+}
+
+func firstError(checks ...func() error) error {
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
