--- a/api/control.twirp.go
+++ b/api/control.twirp.go
@@ -2743,7 +2743,7 @@
 }
 
 func (s *controlCommandServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *controlCommandServer) ProtocGenTwirpVersion() string {
@@ -3796,7 +3796,7 @@
 }
 
 func (s *controlQueryServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 1
+	return twirpFileDescriptor2, 1
 }
 
 func (s *controlQueryServer) ProtocGenTwirpVersion() string {
@@ -3810,7 +3810,7 @@
 	return baseServicePath(s.pathPrefix, "endivetrack.v1", "ControlQuery")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 1727 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x58, 0xdb, 0x6f, 0x1b, 0x59,
 	0x19, 0x67, 0x6c, 0xc7, 0x76, 0x3e, 0xdb, 0xa9, 0x73, 0x72, 0xc1, 0x35, 0xa4, 0xcd, 0x4e, 0x77,
--- a/internal/agreement/agreement.go
+++ b/internal/agreement/agreement.go
@@ -66,6 +66,11 @@
 	Incarnation string
 	Address     string
 	Voter       bool
+	// Diskless members keep the log in memory and are never promoted.
+	Diskless bool
+	// Promote marks a learner that the leader makes a voter, in place of the
+	// lost incarnation of the same name, once it has caught up.
+	Promote bool
 }
 
 // Status is a node's view of the group.
--- /dev/null
+++ b/internal/agreement/bootstrap.go
@@ -0,0 +1,191 @@
+package agreement
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/wal"
+)
+
+// firstTerm is the term of the entry that forms a group; no leader is ever
+// elected in it.
+const firstTerm = 1
+
+// helloState is what a node without a log knows while it looks for a group.
+type helloState struct {
+	next time.Time
+	// unformed are the other first voters that answered and have no log, by
+	// name.
+	unformed map[string]Member
+	// exists is set once any node answered that a group exists. This node then
+	// never forms one.
+	exists bool
+}
+
+// tickUnformed asks the seeds for entry, and forms the group if this node is
+// the coordinator and every first voter answered that it has no log.
+//
+// A first voter that lost its disk has a new incarnation and no log. It cannot
+// form a second group, since the remaining first voters have a log and say so,
+// and it does not vote, since no log lists its new incarnation.
+func (c *core) tickUnformed() {
+	if c.now.Before(c.hello.next) {
+		return
+	}
+	c.hello.next = c.now.Add(2 * c.cfg.HeartbeatInterval)
+	if c.isCoordinator() && !c.hello.exists && c.tryForm() {
+		return
+	}
+	c.hello.unformed = nil
+	c.sendHello()
+}
+
+// tickLearner asks for entry again when no leader shows life: the group may
+// have dropped this incarnation.
+func (c *core) tickLearner() {
+	if c.now.Before(c.hello.next) || c.now.Sub(c.leaderContact) < 4*c.cfg.ElectionTimeout {
+		return
+	}
+	c.hello.next = c.now.Add(c.cfg.ElectionTimeout)
+	c.sendHello()
+}
+
+func (c *core) sendHello() {
+	for _, address := range c.seeds() {
+		c.sendEarly(Message{Type: MsgHello, Group: c.group(), From: c.cfg.Self, ToAddress: address})
+	}
+}
+
+func (c *core) seeds() []string {
+	out := slices.Clone(c.cfg.Seeds)
+	for _, m := range c.cfg.Bootstrap {
+		out = append(out, m.Address)
+	}
+	for _, m := range c.members().voters() {
+		out = append(out, m.Address)
+	}
+	slices.Sort(out)
+	out = slices.Compact(out)
+	return slices.DeleteFunc(out, func(a string) bool { return a == c.cfg.Self.Address })
+}
+
+// isCoordinator reports whether this node is the one that forms the group: the
+// first voter with the least name.
+func (c *core) isCoordinator() bool {
+	if len(c.cfg.Bootstrap) == 0 || c.cfg.Self.Diskless {
+		return false
+	}
+	least := slices.MinFunc(c.cfg.Bootstrap, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return least.Name == c.cfg.Self.Name
+}
+
+// tryForm writes the first log entry if all first voters answered.
+func (c *core) tryForm() bool {
+	m := membership{}
+	for _, b := range c.cfg.Bootstrap {
+		x := c.cfg.Self
+		if b.Name != c.cfg.Self.Name {
+			var ok bool
+			if x, ok = c.hello.unformed[b.Name]; !ok {
+				return false
+			}
+		}
+		m = m.with(Member{Name: b.Name, Incarnation: x.Incarnation, Address: b.Address, Voter: true})
+	}
+	m.Group = groupID(m.Members)
+	data, err := m.encode()
+	if err != nil {
+		c.violated("membership does not encode: %v", err)
+		return false
+	}
+	c.acceptForm(wal.Entry{Index: 1, Term: firstTerm, Type: wal.EntryMembership, Data: data})
+	for _, v := range c.members().voters() {
+		if v.Incarnation != c.cfg.Self.Incarnation {
+			c.sendForm(v)
+		}
+	}
+	return true
+}
+
+func (c *core) acceptForm(e wal.Entry) {
+	c.log.append(e)
+	if c.state.Term < e.Term {
+		c.setState(wal.HardState{Term: e.Term})
+	}
+	if err := c.noteMembership(e); err != nil {
+		c.violated("%v", err)
+	}
+	c.event("agreement.form", "group", c.group())
+	c.settleRole()
+	c.resetElectionTimer()
+}
+
+// sendForm sends the first entry. It leaves only after it is durable here.
+func (c *core) sendForm(to Member) {
+	m := c.message(MsgForm, to)
+	m.Term = firstTerm
+	m.Entries = c.log.from(1, c.cfg.MaxEntryBytes)[:1]
+	c.sendLate(m)
+}
+
+// onForm takes the first entry. A node takes it only while it has no log, and
+// only if the entry names its own incarnation.
+func (c *core) onForm(m Message) error {
+	if c.formed() || c.log.last() > 0 || c.cfg.Self.Diskless {
+		return nil
+	}
+	if len(m.Entries) != 1 || m.Entries[0].Index != 1 || m.Entries[0].Term != firstTerm || m.Entries[0].Type != wal.EntryMembership {
+		return malformed("first entry")
+	}
+	first, err := decodeMembership(1, m.Entries[0].Data)
+	if err != nil {
+		return err
+	}
+	if !first.isVoter(c.cfg.Self.Incarnation) {
+		return resultcode.Newf(resultcode.IdentityMismatch, "the first entry does not name incarnation %q", c.cfg.Self.Incarnation)
+	}
+	c.acceptForm(m.Entries[0])
+	return nil
+}
+
+// onHello answers a node that looks for a group.
+func (c *core) onHello(m Message) {
+	answer := c.message(MsgHelloAnswer, m.From)
+	answer.Reject = c.formed()
+	c.sendEarly(answer)
+	if !c.formed() {
+		return
+	}
+	if first, ok := c.firstMembership(); ok && m.Group == "" && first.isVoter(m.From.Incarnation) {
+		// It has no log but its vote may be needed to elect a leader.
+		c.sendForm(m.From)
+	}
+	if c.role == Leader && c.cfg.AdmitLearners && (m.Group == "" || m.Group == c.group()) {
+		c.admit(m.From)
+	}
+}
+
+// firstMembership returns the first entry's membership while it is in memory.
+func (c *core) firstMembership() (membership, bool) {
+	if c.log.baseIndex != 0 || c.log.last() == 0 || c.log.entries[0].Type != wal.EntryMembership {
+		return membership{}, false
+	}
+	m, err := decodeMembership(1, c.log.entries[0].Data)
+	return m, err == nil
+}
+
+func (c *core) onHelloAnswer(m Message) {
+	if c.formed() {
+		return
+	}
+	if m.Reject {
+		c.hello.exists = true
+		return
+	}
+	if c.hello.unformed == nil {
+		c.hello.unformed = map[string]Member{}
+	}
+	c.hello.unformed[m.From.Name] = m.From
+}
--- /dev/null
+++ b/internal/agreement/core.go
@@ -0,0 +1,430 @@
+package agreement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/wal"
+)
+
+// coreConfig is what the protocol needs to know.
+type coreConfig struct {
+	Self Member // Voter: the node may become one
+	// Bootstrap are the first voters by name and address; empty for a node
+	// that only joins an existing group.
+	Bootstrap []Member
+	// Seeds are addresses at which to ask for entry to the group.
+	Seeds             []string
+	ElectionTimeout   time.Duration
+	HeartbeatInterval time.Duration
+	// ReplaceAfter is how long a voter must be silent before a learner of the
+	// same name takes its place. 0: never.
+	ReplaceAfter time.Duration
+	// AdmitLearners lets the leader add nodes that ask for entry.
+	AdmitLearners bool
+	MaxEntryBytes int // of one append message
+	MaxInFlight   int // bytes sent to one follower and not answered
+	ChunkBytes    int
+	MaxSnapshot   uint64
+	MaxLag        uint64 // entries that a learner may lack when it is promoted
+}
+
+// core is the protocol without input and output. It is a deterministic
+// function of its configuration, random source and the sequence of calls.
+//
+// What it wants done collects in out. The caller must make out.state and
+// out.entries durable, in this order: send out.early, persist, call persisted,
+// send out.late.
+type core struct {
+	cfg  coreConfig
+	rand *rand.Rand
+	now  time.Time
+
+	state       wal.HardState
+	log         memLog
+	commit      uint64
+	snapshot    wal.Snapshot // newest one; Index 0 if none
+	memberships []membership // ascending; the last is in force
+
+	role             Role
+	leader           Member // of the current term, if known
+	leaderContact    time.Time
+	electionDeadline time.Time
+	preVoting        bool
+	votes            map[string]bool
+
+	peers         map[string]*progress // leader only, by incarnation
+	round         uint64
+	rounds        []heartbeatRound
+	quorumRound   uint64
+	quorumContact time.Time
+	leaderSince   time.Time
+	nextHeartbeat time.Time
+	termStart     uint64 // index of the leader's first entry
+
+	reads     []readRequest
+	readRound uint64 // newest round started for a read
+
+	hello    helloState
+	incoming *incomingSnapshot
+
+	out output
+	// violation is the first broken invariant; the node must stop.
+	violation error
+}
+
+// output is what the caller of core must do next.
+type output struct {
+	stateChanged bool
+	install      *wal.Snapshot // replaces the log and the state machine
+	entries      []wal.Entry
+	early        []Message // may leave before the persist
+	late         []Message // must not leave before the persist
+	events       []event   // changes of state, for the time line
+	reads        []readResult
+}
+
+// event is a change of state worth a line in the log.
+type event struct {
+	kind   string
+	fields []string
+}
+
+// newCore restores the protocol from what the disk held.
+func newCore(cfg coreConfig, seed uint64, now time.Time, s wal.State) (*core, error) {
+	c := &core{
+		cfg:      cfg,
+		rand:     rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		now:      now,
+		state:    s.HardState,
+		snapshot: s.Snapshot,
+		commit:   s.Snapshot.Index,
+		role:     Follower,
+		log:      memLog{baseIndex: s.PrevIndex, baseTerm: s.PrevTerm, entries: s.Entries},
+	}
+	c.log.stable = c.log.last()
+	if s.Snapshot.Index > 0 {
+		m, err := decodeMembership(0, s.Snapshot.Membership)
+		if err != nil {
+			return nil, err
+		}
+		c.memberships = []membership{m}
+	}
+	for _, e := range s.Entries {
+		if e.Index > s.Snapshot.Index {
+			if err := c.noteMembership(e); err != nil {
+				return nil, err
+			}
+		}
+	}
+	c.resetElectionTimer()
+	c.settleRole()
+	return c, nil
+}
+
+// members returns the membership in force: the newest one in the log,
+// committed or not.
+func (c *core) members() membership {
+	if n := len(c.memberships); n > 0 {
+		return c.memberships[n-1]
+	}
+	return membership{}
+}
+
+// formed reports whether the node belongs to a group.
+func (c *core) formed() bool { return len(c.memberships) > 0 }
+
+func (c *core) group() string { return c.members().Group }
+
+func (c *core) noteMembership(e wal.Entry) error {
+	if e.Type != wal.EntryMembership {
+		return nil
+	}
+	m, err := decodeMembership(e.Index, e.Data)
+	if err != nil {
+		return err
+	}
+	c.memberships = append(c.memberships, m)
+	return nil
+}
+
+// isVoter reports whether the node is a voter as far as its log tells.
+func (c *core) isVoter() bool { return c.members().isVoter(c.cfg.Self.Incarnation) }
+
+// mayVote reports whether the node may cast a vote. A learner with a disk
+// answers too: its promotion may be in the candidate's log and not yet in its
+// own, and only the candidate's members decide whether its vote counts. A node
+// that no group lists, and one without a disk, must not vote.
+func (c *core) mayVote() bool {
+	_, listed := c.members().find(c.cfg.Self.Incarnation)
+	return listed && !c.cfg.Self.Diskless
+}
+
+// settleRole shows a follower that is not a voter as a learner.
+func (c *core) settleRole() {
+	if c.role != Follower && c.role != Learner {
+		return
+	}
+	c.role = Follower
+	if !c.isVoter() {
+		c.role = Learner
+	}
+}
+
+func (c *core) resetElectionTimer() {
+	c.electionDeadline = c.now.Add(c.cfg.ElectionTimeout + time.Duration(c.rand.Int64N(int64(c.cfg.ElectionTimeout))))
+}
+
+func (c *core) setState(s wal.HardState) {
+	if s.Term < c.state.Term {
+		c.violated("term goes from %d back to %d", c.state.Term, s.Term)
+		return
+	}
+	if s.Term == c.state.Term && c.state.Vote != "" && s.Vote != c.state.Vote {
+		c.violated("second vote in term %d", s.Term)
+		return
+	}
+	if s != c.state {
+		c.state = s
+		c.out.stateChanged = true
+	}
+}
+
+func (c *core) violated(format string, args ...any) {
+	if c.violation == nil {
+		c.violation = resultcode.Newf(resultcode.InvariantViolation, format, args...)
+	}
+}
+
+// message starts a message to another node.
+func (c *core) message(t MessageType, to Member) Message {
+	return Message{Type: t, Group: c.group(), From: c.cfg.Self, To: to.Incarnation, ToAddress: to.Address, Term: c.state.Term}
+}
+
+// answer starts the answer to m. It names the group of m: a node that is about
+// to receive its first entries does not know its group yet.
+func (c *core) answer(t MessageType, m Message) Message {
+	a := c.message(t, m.From)
+	a.Group, a.Round = m.Group, m.Round
+	return a
+}
+
+func (c *core) sendEarly(m Message) { c.out.early = append(c.out.early, m) }
+
+func (c *core) sendLate(m Message) { c.out.late = append(c.out.late, m) }
+
+// take returns what the caller must do now.
+func (c *core) take() output {
+	c.replicate()
+	c.advanceReads()
+	out := c.out
+	out.entries = c.unstable()
+	c.out = output{}
+	return out
+}
+
+// unstable returns the entries that must be made durable.
+func (c *core) unstable() []wal.Entry {
+	if c.log.stable >= c.log.last() {
+		return nil
+	}
+	rest := c.log.entries[c.log.stable-c.log.baseIndex:]
+	return rest[:len(rest):len(rest)]
+}
+
+// persisted is called once the hard state and all entries are durable. Only
+// then do the node's own vote and its own copy of an entry count.
+func (c *core) persisted() {
+	c.log.stable = c.log.last()
+	switch {
+	case c.role == Candidate && c.state.Vote == c.cfg.Self.Incarnation && !c.preVoting:
+		c.countVote(c.cfg.Self.Incarnation, true)
+	case c.role == Leader:
+		c.advanceCommit()
+	}
+}
+
+// tick lets time pass.
+func (c *core) tick(now time.Time) {
+	c.now = now
+	switch {
+	case !c.formed():
+		c.tickUnformed()
+	case c.role == Leader:
+		c.tickLeader()
+	case !c.isVoter():
+		c.tickLearner()
+	case !now.Before(c.electionDeadline):
+		c.startPreVote()
+	}
+}
+
+// step takes one message. The error says why the message was refused.
+func (c *core) step(now time.Time, m Message) error {
+	c.now = now
+	if m.To != c.cfg.Self.Incarnation && (m.To != "" || m.Type != MsgHello) {
+		return resultcode.Newf(resultcode.IdentityMismatch, "message for incarnation %q reached %q", m.To, c.cfg.Self.Incarnation)
+	}
+	switch m.Type {
+	case MsgHello:
+		c.onHello(m)
+		return nil
+	case MsgHelloAnswer:
+		c.onHelloAnswer(m)
+		return nil
+	case MsgForm:
+		return c.onForm(m)
+	}
+	if c.formed() && m.Group != c.group() {
+		return resultcode.Newf(resultcode.IdentityMismatch, "message of group %q reached group %q", m.Group, c.group())
+	}
+	if m.Type == MsgPreVote {
+		c.onPreVote(m)
+		return nil
+	}
+	if m.Type == MsgVote && c.hearsLeader() {
+		return nil // a member that was removed or cut off must not depose a working leader
+	}
+	grantedPreVote := m.Type == MsgPreVoteAnswer && !m.Reject
+	if m.Term > c.state.Term && !grantedPreVote {
+		c.becomeFollower(m.Term)
+	}
+	return c.stepInTerm(m)
+}
+
+func (c *core) stepInTerm(m Message) error {
+	if m.Term < c.state.Term {
+		c.answerOldTerm(m)
+		return nil
+	}
+	switch m.Type {
+	case MsgPreVoteAnswer:
+		c.onPreVoteAnswer(m)
+	case MsgVote:
+		c.onVote(m)
+	case MsgVoteAnswer:
+		if c.role == Candidate && !c.preVoting {
+			c.countVote(m.From.Incarnation, !m.Reject)
+		}
+	case MsgAppend, MsgSnapshot:
+		if !c.followLeader(m) {
+			return c.violation
+		}
+		if m.Type == MsgSnapshot {
+			return c.onSnapshot(m)
+		}
+		return c.onAppend(m)
+	case MsgAppendAnswer, MsgSnapshotAnswer:
+		if c.role == Leader {
+			c.onFollowerAnswer(m)
+		}
+	case MsgTakeOver:
+		if c.isVoter() && c.role != Leader {
+			c.startVote()
+		}
+	}
+	return nil
+}
+
+// answerOldTerm tells a deposed leader or candidate about the current term.
+func (c *core) answerOldTerm(m Message) {
+	t := map[MessageType]MessageType{MsgAppend: MsgAppendAnswer, MsgSnapshot: MsgAppendAnswer, MsgVote: MsgVoteAnswer}[m.Type]
+	if t == 0 {
+		return
+	}
+	answer := c.answer(t, m)
+	answer.Reject = true
+	c.sendLate(answer)
+}
+
+// followLeader accepts m's sender as the leader of the term.
+func (c *core) followLeader(m Message) bool {
+	if c.role == Leader || (c.leader.Incarnation != "" && c.leader.Incarnation != m.From.Incarnation) {
+		c.violated("two leaders in term %d: %s/%s and %s/%s", m.Term, c.leader.Name, c.leader.Incarnation, m.From.Name, m.From.Incarnation)
+		return false
+	}
+	if c.role == Candidate {
+		c.becomeFollower(m.Term)
+	}
+	if c.leader.Incarnation == "" {
+		c.event("agreement.follow", "leader", m.From.Name, "term", fmt.Sprint(m.Term))
+	}
+	c.leader = m.From
+	c.leaderContact = c.now
+	c.resetElectionTimer()
+	return true
+}
+
+// becomeFollower enters a term, or ends a candidacy in the present one.
+func (c *core) becomeFollower(term uint64) {
+	if c.role == Leader {
+		c.event("agreement.step_down", "term", fmt.Sprint(c.state.Term))
+	}
+	if term > c.state.Term {
+		c.setState(wal.HardState{Term: term})
+		c.leader = Member{}
+		c.incoming = nil
+	}
+	if c.role == Leader {
+		c.leader = Member{}
+	}
+	c.role = Follower
+	c.preVoting = false
+	c.votes, c.peers, c.rounds = nil, nil, nil
+	c.failReads()
+	c.quorumContact = time.Time{}
+	c.settleRole()
+	c.resetElectionTimer()
+}
+
+func (c *core) event(kind string, fields ...string) {
+	c.out.events = append(c.out.events, event{kind: kind, fields: fields})
+}
+
+// truncate removes the entries behind index from the log. Committed entries
+// never change.
+func (c *core) truncate(index uint64) bool {
+	if index < c.commit {
+		c.violated("truncating to %d below the commit index %d", index, c.commit)
+		return false
+	}
+	c.log.truncate(index)
+	c.memberships = slices.DeleteFunc(c.memberships, func(m membership) bool { return m.Index > index })
+	c.settleRole()
+	return true
+}
+
+// setCommit moves the commit index forward.
+func (c *core) setCommit(index uint64) {
+	if index > c.log.last() {
+		c.violated("commit index %d behind the last entry %d", index, c.log.last())
+		return
+	}
+	c.commit = max(c.commit, index)
+}
+
+// compact drops entries from memory once a snapshot covers them, but keeps
+// some for followers that lag a little.
+func (c *core) compact(s wal.Snapshot, keep uint64) uint64 {
+	if s.Index > c.snapshot.Index {
+		c.snapshot = s
+	}
+	if s.Index > keep {
+		c.log.compact(s.Index - keep)
+	}
+	return c.log.baseIndex
+}
+
+// membershipAt returns the membership in force at a committed index.
+func (c *core) membershipAt(index uint64) membership {
+	out := membership{}
+	for _, m := range c.memberships {
+		if m.Index <= index {
+			out = m
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/agreement/election.go
@@ -0,0 +1,147 @@
+package agreement
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/endivetrack/endivetrack/internal/wal"
+)
+
+// hearsLeader reports whether a leader showed life within the least election
+// timeout.
+func (c *core) hearsLeader() bool {
+	if c.role == Leader {
+		return c.now.Sub(c.quorumContact) < c.cfg.ElectionTimeout
+	}
+	return c.leader.Incarnation != "" && c.now.Sub(c.leaderContact) < c.cfg.ElectionTimeout
+}
+
+// startPreVote asks whether an election could be won, without disturbing the
+// present term.
+func (c *core) startPreVote() {
+	c.role = Candidate
+	c.leader = Member{}
+	c.preVoting = true
+	c.votes = map[string]bool{}
+	c.resetElectionTimer()
+	c.requestVotes(MsgPreVote, c.state.Term+1)
+	c.countVote(c.cfg.Self.Incarnation, true)
+}
+
+// startVote enters the next term and votes for itself. The own vote counts
+// only once it is durable.
+func (c *core) startVote() {
+	c.role = Candidate
+	c.leader = Member{}
+	c.preVoting = false
+	c.votes = map[string]bool{}
+	c.setState(wal.HardState{Term: c.state.Term + 1, Vote: c.cfg.Self.Incarnation})
+	c.event("agreement.candidate", "term", fmt.Sprint(c.state.Term))
+	c.resetElectionTimer()
+	c.requestVotes(MsgVote, c.state.Term)
+}
+
+func (c *core) requestVotes(t MessageType, term uint64) {
+	for _, v := range c.members().voters() {
+		if v.Incarnation == c.cfg.Self.Incarnation {
+			continue
+		}
+		m := c.message(t, v)
+		m.Term, m.Index, m.LogTerm = term, c.log.last(), c.log.lastTerm()
+		c.sendLate(m)
+	}
+}
+
+// logUpToDate reports whether a candidate's log holds all that is committed
+// as far as this node can tell.
+func (c *core) logUpToDate(m Message) bool {
+	if m.LogTerm != c.log.lastTerm() {
+		return m.LogTerm > c.log.lastTerm()
+	}
+	return m.Index >= c.log.last()
+}
+
+func (c *core) onPreVote(m Message) {
+	answer := c.answer(MsgPreVoteAnswer, m)
+	if m.Term > c.state.Term && c.mayVote() && !c.hearsLeader() && c.logUpToDate(m) {
+		answer.Term = m.Term
+	} else {
+		answer.Reject = true
+	}
+	c.sendLate(answer)
+}
+
+func (c *core) onPreVoteAnswer(m Message) {
+	if c.role != Candidate || !c.preVoting || (!m.Reject && m.Term != c.state.Term+1) {
+		return
+	}
+	c.countVote(m.From.Incarnation, !m.Reject)
+}
+
+func (c *core) onVote(m Message) {
+	if !c.mayVote() {
+		return
+	}
+	answer := c.answer(MsgVoteAnswer, m)
+	free := c.state.Vote == "" || c.state.Vote == m.From.Incarnation
+	if free && c.logUpToDate(m) && c.leader.Incarnation == "" && c.role != Leader {
+		c.setState(wal.HardState{Term: c.state.Term, Vote: m.From.Incarnation})
+		c.resetElectionTimer()
+	} else {
+		answer.Reject = true
+	}
+	c.sendLate(answer)
+}
+
+// countVote notes a vote and moves on once a quorum of the voters granted it.
+func (c *core) countVote(incarnation string, granted bool) {
+	c.votes[incarnation] = granted
+	n := 0
+	for _, v := range c.members().voters() {
+		if c.votes[v.Incarnation] {
+			n++
+		}
+	}
+	if n < c.members().quorum() {
+		return
+	}
+	if c.preVoting {
+		c.startVote()
+		return
+	}
+	c.becomeLeader()
+}
+
+func (c *core) becomeLeader() {
+	c.role = Leader
+	c.leader = c.cfg.Self
+	if self, ok := c.members().find(c.cfg.Self.Incarnation); ok {
+		c.leader = self
+	}
+	c.votes = nil
+	c.peers = map[string]*progress{}
+	c.rounds, c.quorumRound, c.quorumContact = nil, c.round, time.Time{}
+	c.leaderSince = c.now
+	c.event("agreement.lead", "term", fmt.Sprint(c.state.Term))
+	c.syncPeers()
+	c.termStart = c.appendEntry(wal.EntryNoop, nil)
+	c.broadcastHeartbeat()
+}
+
+// tickLeader sends heartbeats and steps down when no quorum answers.
+func (c *core) tickLeader() {
+	since := c.leaderSince
+	if c.quorumContact.After(since) {
+		since = c.quorumContact
+	}
+	if c.now.Sub(since) > c.cfg.ElectionTimeout {
+		c.event("agreement.no_quorum", "term", fmt.Sprint(c.state.Term))
+		c.becomeFollower(c.state.Term)
+		return
+	}
+	if !c.now.Before(c.nextHeartbeat) {
+		c.broadcastHeartbeat()
+		c.resendLost()
+		c.repairMembers()
+	}
+}
--- /dev/null
+++ b/internal/agreement/membership.go
@@ -0,0 +1,113 @@
+package agreement
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/endivetrack/endivetrack/api"
+)
+
+// Bounds on the members of a group.
+const (
+	maxVoters   = 7
+	maxLearners = 32
+)
+
+// membership is the set of members from some log entry on.
+type membership struct {
+	// Index is the entry that set it; 0 if a snapshot did.
+	Index uint64
+	// Group identifies the group of nodes formed together. Nodes refuse
+	// messages of another group.
+	Group   string
+	Members []Member
+}
+
+// groupID derives a group's identity from its first voters. Every forming uses
+// fresh incarnations of at least one member, so that no two groups are equal.
+func groupID(members []Member) string {
+	h := sha256.New()
+	for _, m := range members {
+		h.Write([]byte(m.Name + "\x00" + m.Incarnation + "\x00"))
+	}
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+func (m membership) find(incarnation string) (Member, bool) {
+	i := slices.IndexFunc(m.Members, func(x Member) bool { return x.Incarnation == incarnation })
+	if i < 0 {
+		return Member{}, false
+	}
+	return m.Members[i], true
+}
+
+func (m membership) voters() []Member {
+	var out []Member
+	for _, x := range m.Members {
+		if x.Voter {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func (m membership) isVoter(incarnation string) bool {
+	x, ok := m.find(incarnation)
+	return ok && x.Voter
+}
+
+func (m membership) quorum() int { return len(m.voters())/2 + 1 }
+
+// with returns a copy in which x replaces the member of its incarnation.
+func (m membership) with(x Member) membership {
+	out := m.without(x.Incarnation)
+	out.Members = append(out.Members, x)
+	slices.SortFunc(out.Members, func(a, b Member) int {
+		return strings.Compare(a.Name+"\x00"+a.Incarnation, b.Name+"\x00"+b.Incarnation)
+	})
+	return out
+}
+
+func (m membership) without(incarnation string) membership {
+	out := membership{Group: m.Group, Members: slices.Clone(m.Members)}
+	out.Members = slices.DeleteFunc(out.Members, func(x Member) bool { return x.Incarnation == incarnation })
+	return out
+}
+
+func memberToProto(m Member) *api.AgreementMember {
+	return &api.AgreementMember{
+		Name: m.Name, Incarnation: m.Incarnation, Address: m.Address,
+		Voter: m.Voter, Diskless: m.Diskless, Promote: m.Promote,
+	}
+}
+
+func memberFromProto(p *api.AgreementMember) Member {
+	return Member{
+		Name: p.GetName(), Incarnation: p.GetIncarnation(), Address: p.GetAddress(),
+		Voter: p.GetVoter(), Diskless: p.GetDiskless(), Promote: p.GetPromote(),
+	}
+}
+
+func (m membership) encode() ([]byte, error) {
+	p := &api.AgreementMembership{Group: m.Group}
+	for _, x := range m.Members {
+		p.Members = append(p.Members, memberToProto(x))
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(p)
+}
+
+func decodeMembership(index uint64, data []byte) (membership, error) {
+	var p api.AgreementMembership
+	if err := proto.Unmarshal(data, &p); err != nil {
+		return membership{}, malformed("membership: %v", err)
+	}
+	m := membership{Index: index, Group: p.GetGroup()}
+	for _, x := range p.GetMembers() {
+		m.Members = append(m.Members, memberFromProto(x))
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/agreement/memlog.go
@@ -0,0 +1,89 @@
+package agreement
+
+import "github.com/endivetrack/endivetrack/internal/wal"
+
+// memLog is the part of the log that is kept in memory: all entries behind a
+// base entry, of which only index and term are known.
+type memLog struct {
+	baseIndex, baseTerm uint64
+	entries             []wal.Entry
+	// stable is the highest index that is durable.
+	stable uint64
+}
+
+func (l *memLog) last() uint64 { return l.baseIndex + uint64(len(l.entries)) }
+
+func (l *memLog) lastTerm() uint64 { return l.term(l.last()) }
+
+// term returns the term of the entry at index, 0 if it is not in memory.
+func (l *memLog) term(index uint64) uint64 {
+	switch {
+	case index == l.baseIndex:
+		return l.baseTerm
+	case index < l.baseIndex || index > l.last():
+		return 0
+	}
+	return l.entries[index-l.baseIndex-1].Term
+}
+
+// from returns the entries from index on, of at most maxBytes but at least one.
+func (l *memLog) from(index uint64, maxBytes int) []wal.Entry {
+	if index <= l.baseIndex || index > l.last() {
+		return nil
+	}
+	rest := l.entries[index-l.baseIndex-1:]
+	n, size := 0, 0
+	for n < len(rest) && (n == 0 || size+len(rest[n].Data) <= maxBytes) {
+		size += len(rest[n].Data)
+		n++
+	}
+	return rest[:n:n]
+}
+
+// bytes returns the size of the data of the entries in (after, upTo].
+func (l *memLog) bytes(after, upTo uint64) int {
+	size := 0
+	for i := max(after, l.baseIndex) + 1; i <= upTo && i <= l.last(); i++ {
+		size += len(l.entries[i-l.baseIndex-1].Data)
+	}
+	return size
+}
+
+func (l *memLog) append(entries ...wal.Entry) { l.entries = append(l.entries, entries...) }
+
+// truncate removes the entries behind index. Slices handed out before keep
+// their content, since later appends copy.
+func (l *memLog) truncate(index uint64) {
+	n := index - l.baseIndex
+	l.entries = l.entries[:n:n]
+	l.stable = min(l.stable, index)
+}
+
+// compact removes the entries up to and including index.
+func (l *memLog) compact(index uint64) {
+	if index <= l.baseIndex || index > l.last() {
+		return
+	}
+	term := l.term(index)
+	l.entries = append([]wal.Entry(nil), l.entries[index-l.baseIndex:]...)
+	l.baseIndex, l.baseTerm = index, term
+}
+
+// reset forgets everything up to and including index.
+func (l *memLog) reset(index, term uint64) {
+	*l = memLog{baseIndex: index, baseTerm: term, stable: index}
+}
+
+// conflictHint returns where a leader should try next after a mismatch at
+// index: before the first entry of the conflicting term, so that one exchange
+// is needed per term and not per entry.
+func (l *memLog) conflictHint(index uint64) uint64 {
+	if index > l.last() {
+		return l.last()
+	}
+	term := l.term(index)
+	for index > l.baseIndex+1 && l.term(index-1) == term {
+		index--
+	}
+	return max(index, 1) - 1
+}
--- /dev/null
+++ b/internal/agreement/node.go
@@ -0,0 +1,341 @@
+package agreement
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/endivetrack/endivetrack/internal/peerauth"
+	"github.com/endivetrack/endivetrack/internal/process"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// Node is one running member. Its protocol state belongs to one goroutine;
+// a second one drives the state machine, and each address has two that send.
+type Node struct {
+	config    Config
+	transport Transport
+	env       *process.Env
+	self      Member
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+	done    chan struct{}
+
+	inbox     chan Message
+	proposals chan proposal
+	requests  chan func()
+	tasks     chan task
+	results   chan taskResult
+
+	// Owned by the loop.
+	replica  replica
+	schedule schedule
+	outboxes map[outboxKey]*outbox
+	waiters  map[uint64]proposal
+	readers  map[uint64]chan readResult
+	nextRead uint64
+	applied  uint64
+	// waiterTerm is the term in which the waiters' commands were proposed.
+	waiterTerm   uint64
+	waitingBytes int // of the waiters' commands
+	batchBytes   int // taken since the last sync
+	inboxBytes   atomic.Int64
+
+	mu      sync.Mutex
+	status  Status
+	changed chan struct{}
+	contact time.Time
+	err     error
+}
+
+// proposal is a command that waits for its outcome.
+type proposal struct {
+	command []byte
+	term    uint64
+	outcome chan proposalOutcome // capacity 1
+}
+
+type proposalOutcome struct {
+	applied Applied
+	err     error
+}
+
+// Start opens the data folder and runs a node until Stop or a fatal error.
+func Start(config Config, machine StateMachine, transport Transport, env *process.Env) (*Node, error) {
+	config, err := config.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	self := Member{Name: config.Name, Address: config.Address}
+	store, state, self, err := openStorage(config.DataDir, config.WAL, self, peerauth.NewKey)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c, err := newCore(config.core(self), rand.Uint64(), time.Now(), state)
+	if err == nil && state.Snapshot.Index > 0 {
+		err = machine.Restore(state.Snapshot.Data)
+	}
+	if err != nil {
+		return nil, trace.NewAggregate(err, store.Close())
+	}
+	n := newNode(config, self, transport, env)
+	n.replica = replica{core: c, store: store}
+	n.applied = state.Snapshot.Index
+	n.schedule = schedule{handed: n.applied, maxCount: config.SnapshotEntries, maxBytes: config.SnapshotBytes}
+	n.publish()
+	n.workers.Add(1)
+	go n.runApplier(&applier{machine: machine, store: store, applied: n.applied})
+	go n.run()
+	return n, nil
+}
+
+func newNode(config Config, self Member, transport Transport, env *process.Env) *Node {
+	n := &Node{
+		config:    config,
+		transport: transport,
+		env:       env,
+		self:      self,
+		done:      make(chan struct{}),
+		inbox:     make(chan Message, inboxMessages),
+		proposals: make(chan proposal, proposalQueue),
+		requests:  make(chan func(), proposalQueue),
+		tasks:     make(chan task, 1),
+		results:   make(chan taskResult, 1),
+		outboxes:  map[outboxKey]*outbox{},
+		waiters:   map[uint64]proposal{},
+		readers:   map[uint64]chan readResult{},
+		changed:   make(chan struct{}),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n
+}
+
+// Incarnation returns the node's incarnation.
+func (n *Node) Incarnation() string { return n.self.Incarnation }
+
+// Done is closed when the node has stopped.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Err returns why the node stopped by itself; nil after Stop. After an error
+// the process must end: what the disk holds is known only after a restart.
+func (n *Node) Err() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.err
+}
+
+// Stop ends the node.
+func (n *Node) Stop() {
+	n.cancel()
+	<-n.done
+}
+
+// Receive takes messages from the transport. It refuses those for another
+// incarnation and drops those that exceed the bound of the queue.
+func (n *Node) Receive(messages []Message) error {
+	for _, m := range messages {
+		if m.To != n.self.Incarnation && (m.To != "" || m.Type != MsgHello) {
+			n.count("agreement.identity_refused")
+			return resultcode.Newf(resultcode.IdentityMismatch, "message for incarnation %q reached %q", m.To, n.self.Incarnation)
+		}
+		size := int64(messageBytes(&m))
+		if n.inboxBytes.Add(size) > maxInboxBytes {
+			n.inboxBytes.Add(-size)
+			n.count("agreement.inbox_full")
+			continue
+		}
+		select {
+		case n.inbox <- m:
+		default:
+			n.inboxBytes.Add(-size)
+			n.count("agreement.inbox_full")
+		}
+	}
+	return nil
+}
+
+func (n *Node) runApplier(a *applier) {
+	defer n.workers.Done()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case t := <-n.tasks:
+			n.results <- a.run(t)
+		}
+	}
+}
+
+// run is the loop that owns the protocol state.
+func (n *Node) run() {
+	ticker := time.NewTicker(n.config.Tick)
+	defer ticker.Stop()
+	var err error
+	for err == nil && n.ctx.Err() == nil {
+		tick := false
+		select {
+		case <-n.ctx.Done():
+		case <-ticker.C:
+			tick = true
+		case m := <-n.inbox:
+			n.step(m)
+		case p := <-n.proposals:
+			n.propose(p)
+		case f := <-n.requests:
+			f()
+		case r := <-n.results:
+			err = n.finish(r)
+		}
+		n.drain()
+		// Time limits are checked after the messages that wait: a heartbeat
+		// that arrived during a long sync must not count as missing.
+		if tick {
+			n.replica.core.tick(time.Now())
+		}
+		if err == nil {
+			err = n.flush()
+		}
+		n.publish()
+	}
+	n.shutdown(err)
+}
+
+// drain takes the inputs that wait, so that one sync serves them all.
+func (n *Node) drain() {
+	for i := 0; i < maxBatch && n.batchBytes < maxBatchInput; i++ {
+		select {
+		case m := <-n.inbox:
+			n.step(m)
+		case p := <-n.proposals:
+			n.propose(p)
+		case f := <-n.requests:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) step(m Message) {
+	size := messageBytes(&m)
+	n.inboxBytes.Add(int64(-size))
+	n.batchBytes += size
+	if err := n.replica.core.step(time.Now(), m); err != nil {
+		n.count("agreement.message_refused")
+	}
+}
+
+func (n *Node) flush() error {
+	n.batchBytes = 0
+	e, err := n.replica.flush(n.enqueue)
+	if err != nil {
+		return err
+	}
+	for _, ev := range e.events {
+		n.record(ev)
+	}
+	for _, r := range e.reads {
+		n.readers[r.id] <- r
+		delete(n.readers, r.id)
+	}
+	if e.install != nil {
+		n.schedule.installed(e.install)
+	}
+	if c := n.replica.core; c.role != Leader || c.state.Term != n.waiterTerm {
+		n.failWaiters(ErrOutcomeUnknown)
+	}
+	if t, ok := n.schedule.next(n.replica.core); ok {
+		n.tasks <- t
+	}
+	return n.replica.core.violation
+}
+
+// finish takes the result of the state machine's goroutine.
+func (n *Node) finish(r taskResult) error {
+	n.schedule.busy = false
+	if r.err != nil {
+		return r.err
+	}
+	for _, ar := range r.results {
+		if p, ok := n.waiters[ar.index]; ok && p.term == ar.term {
+			p.outcome <- proposalOutcome{applied: Applied{Index: ar.index, Result: ar.result}}
+			n.waitingBytes -= len(p.command)
+			delete(n.waiters, ar.index)
+		}
+	}
+	if r.applied < n.applied {
+		n.replica.core.violated("applied index goes from %d back to %d", n.applied, r.applied)
+	}
+	n.applied = r.applied
+	if r.snapshot != nil {
+		n.event("agreement.snapshot")
+		return n.replica.store.Compact(n.replica.core.compact(*r.snapshot, n.config.KeepEntries))
+	}
+	return nil
+}
+
+func (n *Node) failWaiters(err error) {
+	for index, p := range n.waiters {
+		p.outcome <- proposalOutcome{err: err}
+		delete(n.waiters, index)
+	}
+	n.waitingBytes = 0
+}
+
+// shutdown ends the goroutines and answers everything that waits.
+func (n *Node) shutdown(err error) {
+	n.cancel()
+	if err != nil {
+		n.reportFatal(err)
+	}
+	n.failWaiters(ErrOutcomeUnknown)
+	for id, ch := range n.readers {
+		ch <- readResult{id: id, err: ErrStopped}
+	}
+	n.workers.Wait()
+	closeErr := n.replica.store.Close()
+	n.mu.Lock()
+	if err != nil {
+		n.err = errors.Join(err, closeErr)
+	}
+	n.contact = time.Time{}
+	n.status.Role = Follower
+	close(n.changed)
+	n.changed = make(chan struct{})
+	n.mu.Unlock()
+	close(n.done)
+}
+
+func (n *Node) reportFatal(err error) {
+	code := resultcode.From(err).Code
+	if code == resultcode.InvariantViolation {
+		n.count("agreement.invariant_violation")
+	}
+	n.count("agreement.fatal")
+	if n.env != nil {
+		n.env.Log.Error().Int("code", int(code)).Err(err).Msg("agreement node stops")
+		n.env.Timeline.Record("agreement.fatal", "code", code.String())
+	}
+}
+
+func (n *Node) count(name string) {
+	if n.env != nil {
+		n.env.Metrics.Counter(name).Inc(1)
+	}
+}
+
+func (n *Node) event(kind string, fields ...string) { n.record(event{kind: kind, fields: fields}) }
+
+func (n *Node) record(e event) {
+	n.count(e.kind)
+	if n.env != nil {
+		n.env.Timeline.Record(e.kind, e.fields...)
+	}
+}
--- /dev/null
+++ b/internal/agreement/propose.go
@@ -0,0 +1,199 @@
+package agreement
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/endivetrack/endivetrack/internal/wal"
+)
+
+// ErrOverloaded means that too many commands wait; the command was not
+// proposed.
+var ErrOverloaded = errors.New("agreement: too many commands wait")
+
+// ErrTooLarge means that a command exceeds MaxCommandBytes; it was not proposed.
+var ErrTooLarge = errors.New("agreement: command too large")
+
+// Propose appends a command to the log and waits until it is committed and
+// applied here. ErrOutcomeUnknown means that it may be committed later; with
+// all other errors it was not proposed.
+func (n *Node) Propose(ctx context.Context, command []byte) (Applied, error) {
+	if len(command) > MaxCommandBytes {
+		return Applied{}, ErrTooLarge
+	}
+	p := proposal{command: command, outcome: make(chan proposalOutcome, 1)}
+	select {
+	case n.proposals <- p:
+	case <-n.ctx.Done():
+		return Applied{}, ErrStopped
+	case <-ctx.Done():
+		return Applied{}, ErrOverloaded
+	}
+	select {
+	case o := <-p.outcome:
+		return o.applied, o.err
+	case <-n.done:
+		select {
+		case o := <-p.outcome:
+			return o.applied, o.err
+		default:
+			// The loop ended without taking the command from the queue.
+			return Applied{}, ErrStopped
+		}
+	case <-ctx.Done():
+		return Applied{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, ctx.Err())
+	}
+}
+
+// propose runs in the loop.
+func (n *Node) propose(p proposal) {
+	c := n.replica.core
+	switch {
+	case c.role != Leader:
+		p.outcome <- proposalOutcome{err: c.notLeader()}
+	case len(n.waiters) >= maxWaiters || n.waitingBytes > maxWaitingBytes:
+		p.outcome <- proposalOutcome{err: ErrOverloaded}
+	default:
+		p.term = c.state.Term
+		n.waiterTerm = p.term
+		n.waitingBytes += len(p.command)
+		n.batchBytes += len(p.command)
+		n.waiters[c.appendEntry(wal.EntryCommand, p.command)] = p
+	}
+}
+
+// ReadBarrier returns an index such that a state machine that applied it shows
+// every command committed before the call, and waits until it is applied here.
+func (n *Node) ReadBarrier(ctx context.Context) (uint64, error) {
+	answer := make(chan readResult, 1)
+	err := n.request(ctx, func() {
+		n.nextRead++
+		n.readers[n.nextRead] = answer
+		n.replica.core.requestRead(n.nextRead)
+	})
+	if err != nil {
+		return 0, err
+	}
+	select {
+	case r := <-answer:
+		if r.err != nil {
+			return 0, r.err
+		}
+		return r.index, n.WaitApplied(ctx, r.index)
+	case <-n.done:
+		return 0, ErrStopped
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// WaitApplied waits until the state machine here has applied index.
+func (n *Node) WaitApplied(ctx context.Context, index uint64) error {
+	return n.WaitStatus(ctx, func(s Status) bool { return s.AppliedIndex >= index })
+}
+
+// WaitStatus waits until the status satisfies ok.
+func (n *Node) WaitStatus(ctx context.Context, ok func(Status) bool) error {
+	for {
+		s, changed := n.StatusChange()
+		if ok(s) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-n.done:
+			return ErrStopped
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// request runs f in the loop.
+func (n *Node) request(ctx context.Context, f func()) error {
+	select {
+	case n.requests <- f:
+		return nil
+	case <-n.ctx.Done():
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// AddLearner adds a member that receives the log. A learner of the same name
+// is an earlier incarnation and is dropped.
+func (n *Node) AddLearner(ctx context.Context, m Member) error {
+	return n.change(ctx, func(c *core) (uint64, error) { return c.addLearner(m) })
+}
+
+// Promote makes a learner that has caught up a voter. The voter incarnation
+// replaces, if not empty, is removed first, by a change of its own: removing
+// and adding in one change could let two majorities without a common member
+// decide.
+func (n *Node) Promote(ctx context.Context, incarnation, replaces string) error {
+	if replaces != "" {
+		err := n.change(ctx, func(c *core) (uint64, error) {
+			if x, ok := c.members().find(incarnation); !ok || (!x.Voter && !c.caughtUp(incarnation)) {
+				return 0, fmt.Errorf("%w: %q is not a learner that has caught up", ErrMembershipChange, incarnation)
+			}
+			return c.remove(replaces)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return n.change(ctx, func(c *core) (uint64, error) { return c.promote(incarnation) })
+}
+
+// Remove takes a member out of the group.
+func (n *Node) Remove(ctx context.Context, incarnation string) error {
+	return n.change(ctx, func(c *core) (uint64, error) { return c.remove(incarnation) })
+}
+
+// change proposes a membership and waits until it is committed.
+func (n *Node) change(ctx context.Context, propose func(*core) (uint64, error)) error {
+	type outcome struct {
+		index, term uint64
+		err         error
+	}
+	answer := make(chan outcome, 1)
+	err := n.request(ctx, func() {
+		c := n.replica.core
+		if c.role != Leader {
+			answer <- outcome{err: c.notLeader()}
+			return
+		}
+		index, err := propose(c)
+		answer <- outcome{index: index, term: c.state.Term, err: err}
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case o := <-answer:
+		if o.err != nil || o.index == 0 {
+			return o.err
+		}
+		return n.waitCommitted(ctx, o.index, o.term)
+	case <-n.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, ctx.Err())
+	}
+}
+
+// waitCommitted waits until the entry that this node appended as leader of
+// term is committed.
+func (n *Node) waitCommitted(ctx context.Context, index, term uint64) error {
+	lost := false
+	err := n.WaitStatus(ctx, func(s Status) bool {
+		lost = s.Term != term
+		return lost || s.CommitIndex >= index
+	})
+	if err != nil || lost {
+		return errors.Join(ErrOutcomeUnknown, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agreement/replica.go
@@ -0,0 +1,130 @@
+package agreement
+
+import (
+	"errors"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/wal"
+)
+
+// storage keeps the log durable.
+type storage interface {
+	Append(wal.HardState, []wal.Entry) error
+	Reset(s wal.HardState, prevIndex, prevTerm uint64, entries []wal.Entry) error
+	Compact(index uint64) error
+	SaveSnapshot(wal.Snapshot) error
+	Close() error
+}
+
+// noStorage is the storage of a diskless learner.
+type noStorage struct{}
+
+func (noStorage) Append(wal.HardState, []wal.Entry) error                { return nil }
+func (noStorage) Reset(wal.HardState, uint64, uint64, []wal.Entry) error { return nil }
+func (noStorage) Compact(uint64) error                                   { return nil }
+func (noStorage) SaveSnapshot(wal.Snapshot) error                        { return nil }
+func (noStorage) Close() error                                           { return nil }
+
+// openStorage opens a data folder and the identity in it. A folder without an
+// identity gets a new incarnation, synced before it is used.
+func openStorage(dir string, o wal.Options, self Member, newIncarnation func() string) (storage, wal.State, Member, error) {
+	if dir == "" {
+		self.Incarnation, self.Diskless = newIncarnation(), true
+		return noStorage{}, wal.State{}, self, nil
+	}
+	log, state, err := wal.Open(dir, o)
+	if err != nil {
+		return nil, wal.State{}, self, err
+	}
+	self, err = loadIdentity(log, self, newIncarnation)
+	if err != nil {
+		return nil, wal.State{}, self, errors.Join(err, log.Close())
+	}
+	return log, state, self, nil
+}
+
+func loadIdentity(log *wal.Log, self Member, newIncarnation func() string) (Member, error) {
+	data, err := log.LoadIdentity()
+	if errors.Is(err, wal.ErrNoIdentity) {
+		self.Incarnation = newIncarnation()
+		data, err = proto.Marshal(&api.AgreementMember{Name: self.Name, Incarnation: self.Incarnation})
+		if err != nil {
+			return self, err
+		}
+		return self, log.SaveIdentity(data)
+	}
+	if err != nil {
+		return self, err
+	}
+	var stored api.AgreementMember
+	if err := proto.Unmarshal(data, &stored); err != nil || stored.GetIncarnation() == "" {
+		return self, resultcode.Newf(resultcode.LogCorrupt, "the identity does not decode")
+	}
+	if stored.GetName() != self.Name {
+		return self, resultcode.Newf(resultcode.IdentityMismatch, "the data folder belongs to %q, not to %q", stored.GetName(), self.Name)
+	}
+	self.Incarnation = stored.GetIncarnation()
+	return self, nil
+}
+
+// replica joins the protocol to its storage.
+type replica struct {
+	core  *core
+	store storage
+}
+
+// effects is what a flush leaves to the caller.
+type effects struct {
+	install *wal.Snapshot
+	events  []event
+	reads   []readResult
+}
+
+// flush carries out what the protocol wants until it wants nothing more.
+// Nothing that depends on durable state leaves before it is durable.
+func (r *replica) flush(send func(Message)) (effects, error) {
+	var e effects
+	for {
+		out := r.core.take()
+		if r.core.violation != nil {
+			return e, r.core.violation
+		}
+		for _, m := range out.early {
+			send(m)
+		}
+		dirty, err := r.persist(out)
+		if err != nil {
+			return e, err
+		}
+		if dirty {
+			r.core.persisted()
+		}
+		for _, m := range out.late {
+			send(m)
+		}
+		e.events, e.reads = append(e.events, out.events...), append(e.reads, out.reads...)
+		if out.install != nil {
+			e.install = out.install
+		}
+		if !dirty && len(out.early)+len(out.late) == 0 {
+			return e, r.core.violation
+		}
+	}
+}
+
+// persist makes the hard state, the entries and a received snapshot durable.
+func (r *replica) persist(out output) (bool, error) {
+	if s := out.install; s != nil {
+		if err := r.store.SaveSnapshot(*s); err != nil {
+			return false, err
+		}
+		return true, r.store.Reset(r.core.state, s.Index, s.Term, out.entries)
+	}
+	if !out.stateChanged && len(out.entries) == 0 {
+		return false, nil
+	}
+	return true, r.store.Append(r.core.state, out.entries)
+}
--- /dev/null
+++ b/internal/agreement/replication.go
@@ -0,0 +1,304 @@
+package agreement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/endivetrack/endivetrack/internal/wal"
+)
+
+// maxRounds bounds the heartbeat rounds whose send time is remembered.
+const maxRounds = 1024
+
+// heartbeatRound is the send time of one round.
+type heartbeatRound struct {
+	number uint64
+	sent   time.Time
+}
+
+// progress is what the leader knows of one other member.
+type progress struct {
+	member Member
+	match  uint64 // highest entry known to be durable there
+	next   uint64 // next entry to send
+	// probing: the follower's log may differ, so one message is sent and its
+	// answer awaited.
+	probing  bool
+	waiting  bool
+	inFlight int // bytes of entries sent and not answered
+	moved    time.Time
+	contact  time.Time
+	round    uint64 // newest round answered
+	transfer *transfer
+}
+
+// syncPeers makes the set of peers that of the members.
+func (c *core) syncPeers() {
+	for _, m := range c.members().Members {
+		if m.Incarnation == c.cfg.Self.Incarnation {
+			continue
+		}
+		if p, ok := c.peers[m.Incarnation]; ok {
+			p.member = m
+			continue
+		}
+		c.peers[m.Incarnation] = &progress{member: m, next: c.log.last() + 1, probing: true, moved: c.now, contact: c.now}
+	}
+	for id := range c.peers {
+		if _, ok := c.members().find(id); !ok {
+			delete(c.peers, id)
+		}
+	}
+}
+
+// eachPeer visits the peers in the order of the members, to be deterministic.
+func (c *core) eachPeer(visit func(*progress)) {
+	for _, m := range c.members().Members {
+		if p, ok := c.peers[m.Incarnation]; ok {
+			visit(p)
+		}
+	}
+}
+
+// appendEntry adds an entry to the leader's own log and sends it.
+func (c *core) appendEntry(t wal.EntryType, data []byte) uint64 {
+	e := wal.Entry{Index: c.log.last() + 1, Term: c.state.Term, Type: t, Data: data}
+	c.log.append(e)
+	return e.Index
+}
+
+// replicate sends each peer what it lacks, as far as the bounds allow.
+func (c *core) replicate() {
+	if c.role == Leader {
+		c.eachPeer(c.sendEntries)
+	}
+}
+
+func (c *core) sendEntries(p *progress) {
+	if c.role != Leader {
+		return // a commit just ended the leadership
+	}
+	if p.next <= c.log.baseIndex && p.transfer == nil {
+		c.startTransfer(p)
+	}
+	if p.transfer != nil {
+		return
+	}
+	for p.next <= c.log.last() && !p.waiting && p.inFlight < c.cfg.MaxInFlight {
+		m := c.appendMessage(p, p.next-1)
+		m.Entries = c.log.from(p.next, c.cfg.MaxEntryBytes)
+		c.sendEarly(m)
+		if p.probing {
+			p.waiting = true
+			return
+		}
+		last := m.Entries[len(m.Entries)-1].Index
+		p.inFlight += c.log.bytes(p.next-1, last)
+		if p.next == p.match+1 {
+			p.moved = c.now
+		}
+		p.next = last + 1
+	}
+}
+
+func (c *core) appendMessage(p *progress, prev uint64) Message {
+	m := c.message(MsgAppend, p.member)
+	m.Index, m.LogTerm = prev, c.log.term(prev)
+	m.Commit, m.Round = c.commit, c.round
+	return m
+}
+
+// broadcastHeartbeat starts a round: a message to every member whose answer
+// proves that the sender still leads at the time of the round.
+func (c *core) broadcastHeartbeat() {
+	c.round++
+	c.rounds = append(c.rounds, heartbeatRound{number: c.round, sent: c.now})
+	if len(c.rounds) > maxRounds {
+		c.rounds = slices.Delete(c.rounds, 0, 1)
+	}
+	c.nextHeartbeat = c.now.Add(c.cfg.HeartbeatInterval)
+	c.eachPeer(func(p *progress) {
+		// The entry at match is certain to be there, so a heartbeat that
+		// overtakes entries is not taken for a mismatch.
+		m := c.appendMessage(p, p.match)
+		if p.match < c.log.baseIndex {
+			m.Index, m.LogTerm = 0, 0
+		}
+		m.Commit = min(m.Commit, p.match)
+		c.sendEarly(m)
+	})
+	c.advanceRound()
+}
+
+// advanceRound finds the newest round that a quorum answered.
+func (c *core) advanceRound() {
+	var answered []uint64
+	for _, v := range c.members().voters() {
+		switch p := c.peers[v.Incarnation]; {
+		case v.Incarnation == c.cfg.Self.Incarnation:
+			answered = append(answered, c.round)
+		case p != nil:
+			answered = append(answered, p.round)
+		}
+	}
+	round := quorumValue(answered)
+	if round <= c.quorumRound {
+		return
+	}
+	c.quorumRound = round
+	for len(c.rounds) > 0 && c.rounds[0].number <= round {
+		c.quorumContact = c.rounds[0].sent
+		c.rounds = c.rounds[1:]
+	}
+}
+
+// quorumValue returns the highest value that a majority reaches.
+func quorumValue(values []uint64) uint64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// resendLost sends again what was not answered for two heartbeats. A peer that
+// does not answer at all gets only heartbeats until it does.
+func (c *core) resendLost() {
+	c.eachPeer(func(p *progress) {
+		if c.now.Sub(p.moved) < 2*c.cfg.HeartbeatInterval || c.now.Sub(p.contact) > c.cfg.ElectionTimeout {
+			return
+		}
+		p.moved = c.now
+		if p.transfer != nil {
+			c.sendChunk(p)
+			return
+		}
+		if p.waiting || p.next > p.match+1 {
+			p.waiting, p.inFlight = false, 0
+			p.probing = true
+			if p.match > 0 {
+				p.next = p.match + 1
+			}
+		}
+		c.sendEntries(p)
+	})
+}
+
+func (c *core) onFollowerAnswer(m Message) {
+	p, ok := c.peers[m.From.Incarnation]
+	if !ok {
+		return
+	}
+	p.contact = c.now
+	if m.Round > c.round {
+		c.violated("%s answered round %d of %d", m.From.Name, m.Round, c.round)
+		return
+	}
+	p.round = max(p.round, m.Round)
+	c.advanceRound()
+	switch {
+	case m.Type == MsgSnapshotAnswer:
+		c.onChunkAnswer(p, m)
+	case m.Reject:
+		c.onMismatch(p, m)
+	default:
+		c.onMatch(p, m.Index)
+	}
+}
+
+func (c *core) onMismatch(p *progress, m Message) {
+	if m.Index < p.match || (!p.probing && m.Index+1 >= p.next) {
+		return // overtaken by a later answer, or by a change of next
+	}
+	p.probing, p.waiting, p.inFlight = true, false, 0
+	p.next = min(p.next, m.Index+1)
+	c.sendEntries(p)
+}
+
+func (c *core) onMatch(p *progress, index uint64) {
+	if index > c.log.last() {
+		c.violated("%s holds entry %d, the leader ends at %d", p.member.Name, index, c.log.last())
+		return
+	}
+	if index <= p.match {
+		return
+	}
+	p.inFlight = max(0, p.inFlight-c.log.bytes(p.match, index))
+	p.match = index
+	p.next = max(p.next, index+1)
+	p.probing, p.waiting = false, false
+	p.moved = c.now
+	if p.transfer != nil && index >= p.transfer.snapshot.Index {
+		p.transfer = nil
+	}
+	c.advanceCommit()
+	c.sendEntries(p)
+}
+
+// advanceCommit commits what a quorum holds, if it is of the leader's own
+// term: an entry of an earlier term could still be replaced.
+func (c *core) advanceCommit() {
+	var matches []uint64
+	for _, v := range c.members().voters() {
+		switch p := c.peers[v.Incarnation]; {
+		case v.Incarnation == c.cfg.Self.Incarnation:
+			matches = append(matches, c.log.stable)
+		case p != nil:
+			matches = append(matches, p.match)
+		}
+	}
+	index := quorumValue(matches)
+	if index <= c.commit || c.log.term(index) != c.state.Term {
+		return
+	}
+	c.setCommit(index)
+	c.afterCommit()
+}
+
+func (c *core) onAppend(m Message) error {
+	answer := c.answer(MsgAppendAnswer, m)
+	prev, entries := m.Index, m.Entries
+	if prev < c.log.baseIndex {
+		// The snapshot covers these entries.
+		n := min(uint64(len(entries)), c.log.baseIndex-prev)
+		prev, entries = prev+n, entries[n:]
+		if prev < c.log.baseIndex {
+			answer.Index = prev
+			c.sendLate(answer)
+			return nil
+		}
+	} else if prev > 0 && (prev > c.log.last() || c.log.term(prev) != m.LogTerm) {
+		answer.Reject, answer.Index = true, c.log.conflictHint(prev)
+		c.sendLate(answer)
+		return nil
+	}
+	if err := c.mergeEntries(entries); err != nil {
+		return err
+	}
+	match := prev + uint64(len(entries))
+	c.setCommit(min(m.Commit, match))
+	answer.Index = match
+	c.sendLate(answer)
+	return c.violation
+}
+
+// mergeEntries appends what the log lacks and replaces what contradicts the
+// leader.
+func (c *core) mergeEntries(entries []wal.Entry) error {
+	for i, e := range entries {
+		if e.Index <= c.log.last() {
+			if c.log.term(e.Index) == e.Term {
+				continue
+			}
+			if !c.truncate(e.Index - 1) {
+				return c.violation
+			}
+		}
+		c.log.append(entries[i])
+		if err := c.noteMembership(e); err != nil {
+			return err
+		}
+		c.settleRole()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agreement/transport.go
@@ -0,0 +1,169 @@
+package agreement
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// Bounds of what travels between nodes.
+const (
+	// maxRequestBytes bounds one received request.
+	maxRequestBytes = 8 << 20
+	// maxBatchBytes bounds the messages that are sent in one request; one
+	// message is always sent.
+	maxBatchBytes    = 1 << 20
+	maxBatchMessages = 256
+	// outboxMessages bounds the messages that wait for one member. More are
+	// dropped; the protocol sends again what is lost.
+	outboxMessages = 512
+)
+
+// Transport delivers messages to the node at an address. It may lose them; an
+// error is counted only.
+type Transport interface {
+	Deliver(ctx context.Context, address string, messages []Message) error
+}
+
+// TwirpTransport delivers messages over HTTP.
+type TwirpTransport struct {
+	client *http.Client
+}
+
+// NewTwirpTransport returns a transport over a client that adds the peer key.
+func NewTwirpTransport(client *http.Client) *TwirpTransport {
+	return &TwirpTransport{client: client}
+}
+
+// Deliver sends one request.
+func (t *TwirpTransport) Deliver(ctx context.Context, address string, messages []Message) error {
+	req := &api.DeliverRequest{}
+	for i := range messages {
+		req.Messages = append(req.Messages, toProto(&messages[i]))
+	}
+	_, err := api.NewAgreementCommandProtobufClient("http://"+address, t.client).Deliver(ctx, req)
+	return resultcode.FromTwirp(err)
+}
+
+// Handler serves the calls of other members. Mount it at PathPrefix, behind
+// peerauth.RequirePeer.
+func (n *Node) Handler() http.Handler {
+	server := api.NewAgreementCommandServer(deliverServer{n})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+		server.ServeHTTP(w, r)
+	})
+}
+
+// PathPrefix is the path below which Handler serves.
+const PathPrefix = api.AgreementCommandPathPrefix
+
+type deliverServer struct{ node *Node }
+
+// Deliver takes a request of another member.
+func (s deliverServer) Deliver(_ context.Context, req *api.DeliverRequest) (*api.DeliverResponse, error) {
+	if len(req.GetMessages()) > maxBatchMessages {
+		return nil, resultcode.ToTwirp(malformed("%d messages in one request", len(req.GetMessages())))
+	}
+	messages := make([]Message, 0, len(req.GetMessages()))
+	for _, p := range req.GetMessages() {
+		m, err := fromProto(p)
+		if err != nil {
+			return nil, resultcode.ToTwirp(err)
+		}
+		messages = append(messages, m)
+	}
+	if err := s.node.Receive(messages); err != nil {
+		return nil, resultcode.ToTwirp(err)
+	}
+	return &api.DeliverResponse{}, nil
+}
+
+// outbox sends messages to one address in order. Large messages have an outbox
+// of their own, so that heartbeats do not wait behind them.
+type outbox struct {
+	address string
+	queue   chan Message
+}
+
+// outboxKey names an outbox.
+type outboxKey struct {
+	address string
+	bulk    bool
+}
+
+// enqueue hands a message to the outbox of its address.
+func (n *Node) enqueue(m Message) {
+	if m.ToAddress == "" {
+		return
+	}
+	key := outboxKey{address: m.ToAddress, bulk: m.bulk()}
+	box, ok := n.outboxes[key]
+	if !ok {
+		if len(n.outboxes) >= 2*(maxVoters+maxLearners) {
+			n.count("agreement.send_no_outbox")
+			return
+		}
+		box = &outbox{address: m.ToAddress, queue: make(chan Message, outboxMessages)}
+		n.outboxes[key] = box
+		n.workers.Add(1)
+		go n.runOutbox(box)
+	}
+	select {
+	case box.queue <- m:
+	default:
+		n.count("agreement.send_queue_full")
+	}
+}
+
+func (n *Node) runOutbox(box *outbox) {
+	defer n.workers.Done()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case m := <-box.queue:
+			n.deliver(box, m)
+		}
+	}
+}
+
+// deliver sends m with what else waits. The timeout bounds how long a
+// connection that went silent holds up the next messages, which then use a new
+// connection.
+func (n *Node) deliver(box *outbox, m Message) {
+	batch, size := []Message{m}, messageBytes(&m)
+	for len(batch) < maxBatchMessages && size < maxBatchBytes {
+		select {
+		case next := <-box.queue:
+			batch, size = append(batch, next), size+messageBytes(&next)
+			continue
+		default:
+		}
+		break
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, max(n.config.ElectionTimeout, minDeliverTimeout))
+	defer cancel()
+	if err := n.transport.Deliver(ctx, box.address, batch); err != nil && n.ctx.Err() == nil {
+		n.count("agreement.send_failed")
+		if resultcode.From(err).Code == resultcode.IdentityMismatch {
+			n.count("agreement.send_identity_refused")
+		}
+	}
+}
+
+const minDeliverTimeout = 200 * time.Millisecond
+
+func messageBytes(m *Message) int {
+	size := 64
+	for i := range m.Entries {
+		size += len(m.Entries[i].Data) + 16
+	}
+	if m.Chunk != nil {
+		size += len(m.Chunk.Data) + len(m.Chunk.Membership)
+	}
+	return size
+}
--- /dev/null
+++ b/internal/wal/encoding.go
@@ -0,0 +1,160 @@
+package wal
+
+import (
+	"encoding/binary"
+	"errors"
+)
+
+// HardState is what a voter must not forget: the term it has seen and its vote
+// in that term.
+type HardState struct {
+	Term uint64
+	Vote string // incarnation of the candidate; "" for none
+}
+
+// EntryType says what an entry's data is.
+type EntryType byte
+
+// Entry types.
+const (
+	EntryCommand    EntryType = 1
+	EntryMembership EntryType = 2
+	EntryNoop       EntryType = 3 // first entry of a leader's term
+)
+
+// Entry is one position of the replicated log.
+type Entry struct {
+	Index uint64
+	Term  uint64
+	Type  EntryType
+	Data  []byte
+}
+
+// Snapshot replaces the log up to and including Index.
+type Snapshot struct {
+	Index      uint64
+	Term       uint64
+	Membership []byte // encoded by the caller
+	Data       []byte
+}
+
+// errMalformed means that a record with a valid checksum does not decode.
+var errMalformed = errors.New("wal: malformed payload")
+
+// header is the first record of a segment.
+type header struct {
+	state HardState
+	// reset makes replay forget all earlier segments.
+	reset bool
+	// prevIndex and prevTerm name the entry before the segment's first one.
+	prevIndex, prevTerm uint64
+}
+
+func appendBytes(buf, b []byte) []byte {
+	return append(binary.AppendUvarint(buf, uint64(len(b))), b...)
+}
+
+func appendHardState(buf []byte, s HardState) []byte {
+	return appendBytes(binary.AppendUvarint(buf, s.Term), []byte(s.Vote))
+}
+
+func encodeHeader(h header) []byte {
+	flag := byte(0)
+	if h.reset {
+		flag = 1
+	}
+	buf := appendHardState([]byte{flag}, h.state)
+	return binary.AppendUvarint(binary.AppendUvarint(buf, h.prevIndex), h.prevTerm)
+}
+
+// encodeGroup encodes what one sync makes durable: the hard state and entries
+// with consecutive indexes.
+func encodeGroup(s HardState, entries []Entry) []byte {
+	buf := appendHardState(nil, s)
+	buf = binary.AppendUvarint(buf, uint64(len(entries)))
+	for _, e := range entries {
+		buf = binary.AppendUvarint(buf, e.Index)
+		buf = binary.AppendUvarint(buf, e.Term)
+		buf = append(buf, byte(e.Type))
+		buf = appendBytes(buf, e.Data)
+	}
+	return buf
+}
+
+func encodeSnapshot(s Snapshot) []byte {
+	buf := binary.AppendUvarint(nil, s.Index)
+	buf = binary.AppendUvarint(buf, s.Term)
+	return appendBytes(appendBytes(buf, s.Membership), s.Data)
+}
+
+// reader decodes a payload; the first failure sticks.
+type reader struct {
+	data []byte
+	err  error
+}
+
+func (r *reader) fail() { r.data, r.err = nil, errMalformed }
+
+func (r *reader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.data)
+	if n <= 0 {
+		r.fail()
+		return 0
+	}
+	r.data = r.data[n:]
+	return v
+}
+
+func (r *reader) byte() byte {
+	if len(r.data) == 0 {
+		r.fail()
+		return 0
+	}
+	b := r.data[0]
+	r.data = r.data[1:]
+	return b
+}
+
+func (r *reader) bytes() []byte {
+	n := r.uvarint()
+	if n > uint64(len(r.data)) {
+		r.fail()
+		return nil
+	}
+	b := append([]byte(nil), r.data[:n]...)
+	r.data = r.data[n:]
+	return b
+}
+
+func (r *reader) hardState() HardState { return HardState{Term: r.uvarint(), Vote: string(r.bytes())} }
+
+// end returns the first failure; bytes left over are one.
+func (r *reader) end() error {
+	if r.err == nil && len(r.data) > 0 {
+		return errMalformed
+	}
+	return r.err
+}
+
+func decodeHeader(payload []byte) (header, error) {
+	r := reader{data: payload}
+	h := header{reset: r.byte() == 1, state: r.hardState(), prevIndex: r.uvarint(), prevTerm: r.uvarint()}
+	return h, r.end()
+}
+
+func decodeGroup(payload []byte) (HardState, []Entry, error) {
+	r := reader{data: payload}
+	s := r.hardState()
+	var entries []Entry
+	for n := r.uvarint(); n > 0 && r.err == nil; n-- {
+		e := Entry{Index: r.uvarint(), Term: r.uvarint(), Type: EntryType(r.byte()), Data: r.bytes()}
+		entries = append(entries, e)
+	}
+	return s, entries, r.end()
+}
+
+func decodeSnapshot(payload []byte) (Snapshot, error) {
+	r := reader{data: payload}
+	s := Snapshot{Index: r.uvarint(), Term: r.uvarint(), Membership: r.bytes(), Data: r.bytes()}
+	return s, r.end()
+}
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,158 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+func entries(first, last, term uint64) []Entry {
+	var out []Entry
+	for i := first; i <= last; i++ {
+		out = append(out, Entry{Index: i, Term: term, Type: EntryCommand, Data: fmt.Appendf(nil, "command %d of term %d", i, term)})
+	}
+	return out
+}
+
+func mustOpen(t *testing.T, dir string, o Options) (*Log, State) {
+	t.Helper()
+	l, s, err := Open(dir, o)
+	assert.NilError(t, err)
+	return l, s
+}
+
+// newestSegment returns the path of the segment with the highest number.
+func newestSegment(t *testing.T, dir string) string {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(dir, "*"+segmentSuffix))
+	assert.NilError(t, err)
+	return names[len(names)-1]
+}
+
+func requireCode(t *testing.T, err error, code resultcode.Code) {
+	t.Helper()
+	var e *resultcode.Error
+	assert.Assert(t, errors.As(err, &e) && e.Code == code, "%v", err)
+}
+
+// Guards against entries, votes or replacements of entries that a restart
+// forgets, over several segments.
+func TestReopenReturnsWhatWasAppended(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := mustOpen(t, dir, Options{SegmentBytes: 256})
+	for i := uint64(1); i <= 50; i += 5 {
+		assert.NilError(t, l.Append(HardState{Term: 2, Vote: "x"}, entries(i, i+4, 2)))
+	}
+	assert.NilError(t, l.Append(HardState{Term: 3, Vote: "y"}, entries(41, 43, 3)))
+	assert.NilError(t, l.Append(HardState{Term: 4}, nil))
+	assert.NilError(t, l.Close())
+	l, s := mustOpen(t, dir, Options{})
+	defer func() { assert.NilError(t, l.Close()) }()
+	assert.DeepEqual(t, s.HardState, HardState{Term: 4})
+	assert.DeepEqual(t, s.Entries, append(entries(1, 40, 2), entries(41, 43, 3)...))
+}
+
+// Guards against a start from a log that a snapshot made shorter, and against
+// segments that stay behind it.
+func TestCompactRemovesCoveredSegments(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := mustOpen(t, dir, Options{SegmentBytes: 256})
+	for i := uint64(1); i <= 50; i++ {
+		assert.NilError(t, l.Append(HardState{Term: 2}, entries(i, i, 2)))
+	}
+	snapshot := Snapshot{Index: 40, Term: 2, Membership: []byte("m"), Data: []byte("d")}
+	assert.NilError(t, l.SaveSnapshot(snapshot))
+	before := len(l.segments)
+	assert.NilError(t, l.Compact(30))
+	assert.Assert(t, len(l.segments) < before)
+	assert.NilError(t, l.Close())
+	l, s := mustOpen(t, dir, Options{})
+	defer func() { assert.NilError(t, l.Close()) }()
+	assert.DeepEqual(t, s.Snapshot, snapshot)
+	assert.Assert(t, s.PrevIndex <= 30 && s.PrevTerm == 2)
+	assert.DeepEqual(t, s.Entries, entries(s.PrevIndex+1, 50, 2))
+}
+
+// Guards against refusing to start, or keeping damaged entries, after a crash
+// in the middle of a write: every possible length of the last record.
+func TestTornTailIsTruncated(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := mustOpen(t, dir, Options{})
+	assert.NilError(t, l.Append(HardState{Term: 2}, entries(1, 3, 2)))
+	durable := l.offset
+	assert.NilError(t, l.Append(HardState{Term: 3}, entries(4, 4, 3)))
+	assert.NilError(t, l.Close())
+	name := newestSegment(t, dir)
+	whole, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	for size := int(durable); size < len(whole); size++ {
+		other := t.TempDir()
+		assert.NilError(t, os.WriteFile(filepath.Join(other, filepath.Base(name)), whole[:size], 0o600))
+		l, s := mustOpen(t, other, Options{})
+		assert.DeepEqual(t, s.HardState, HardState{Term: 2})
+		assert.DeepEqual(t, s.Entries, entries(1, 3, 2))
+		assert.NilError(t, l.Close())
+	}
+}
+
+// Guards against starting with a hole in the log: a flipped bit anywhere
+// before the last record is refused.
+func TestCorruptionInTheMiddleIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := mustOpen(t, dir, Options{})
+	assert.NilError(t, l.Append(HardState{Term: 2}, entries(1, 3, 2)))
+	durable := l.offset
+	assert.NilError(t, l.Append(HardState{Term: 2}, entries(4, 4, 2)))
+	assert.NilError(t, l.Close())
+	name := newestSegment(t, dir)
+	whole, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	for i := range int(durable) {
+		other := t.TempDir()
+		bad := append([]byte(nil), whole...)
+		bad[i] ^= 0x10
+		assert.NilError(t, os.WriteFile(filepath.Join(other, filepath.Base(name)), bad, 0o600))
+		_, _, err := Open(other, Options{})
+		requireCode(t, err, resultcode.LogCorrupt)
+	}
+}
+
+// Guards against two processes that write one folder.
+func TestFolderIsLocked(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := mustOpen(t, dir, Options{})
+	_, _, err := Open(dir, Options{})
+	requireCode(t, err, resultcode.DiskFailed)
+	assert.NilError(t, l.Close())
+}
+
+// Guards against voting under an identity whose votes were lost with the log.
+func TestIdentityWithoutLogIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := mustOpen(t, dir, Options{})
+	_, err := l.LoadIdentity()
+	assert.Assert(t, errors.Is(err, ErrNoIdentity))
+	assert.NilError(t, l.SaveIdentity([]byte("me")))
+	assert.NilError(t, l.Close())
+	assert.NilError(t, os.Remove(newestSegment(t, dir)))
+	_, _, err = Open(dir, Options{})
+	requireCode(t, err, resultcode.LogCorrupt)
+}
+
+// Guards against taking bytes inside a command for a record, which would turn
+// a torn write into refused corruption.
+func TestRecordCopiedIntoAnotherPlaceIsNotValid(t *testing.T) {
+	record := appendRecord(nil, position{file: 1, offset: 64}, recordGroup, []byte("payload"))
+	_, _, _, err := decodeRecord(record, position{file: 1, offset: 64})
+	assert.NilError(t, err)
+	for _, at := range []position{{1, 65}, {2, 64}} {
+		_, _, _, err := decodeRecord(record, at)
+		assert.Assert(t, errors.Is(err, errBadRecord))
+	}
+}
