Start from a log whose removed segments were torn or replaced

Cause: (1) Open read every segment before it looked for the newest reset. A crash after the new segment's rename and before the removal of the old ones left an older segment with a torn tail, and Open called it corrupt. (2) A segment that was kept may begin with entries that a later group in the same segment replaces from an index before the segment's start; replay refused it. Ruled out: damage by the in-memory file system; the files were as written. Conclusion: replay starts at the newest reset, and accepts a replaced start only where a removed segment, not a reset, set it.

--- /dev/null
+++ b/internal/wal/fuzz_test.go
@@ -0,0 +1,35 @@
+package wal
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a decoder that panics, reads beyond its input, or accepts
+// what the encoder would not write.
+func FuzzDecodeRecord(f *testing.F) {
+	at := position{file: 3, offset: 40}
+	f.Add(appendRecord(nil, at, recordGroup, encodeGroup(HardState{Term: 5, Vote: "v"}, entries(7, 9, 5))))
+	f.Add(appendRecord(nil, at, recordHeader, encodeHeader(header{state: HardState{Term: 1}, reset: true, prevIndex: 4, prevTerm: 1})))
+	f.Add(appendRecord(nil, at, recordSnapshot, encodeSnapshot(Snapshot{Index: 4, Term: 1, Membership: []byte("m"), Data: []byte("d")})))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		// The payload decoders must bear any bytes, also without a checksum.
+		_, _, _ = decodeGroup(data)
+		_, _ = decodeHeader(data)
+		_, _ = decodeSnapshot(data)
+		typ, payload, size, err := decodeRecord(data, at)
+		if err != nil {
+			return
+		}
+		assert.DeepEqual(t, appendRecord(nil, at, typ, payload), data[:size])
+		if typ == recordGroup {
+			if s, e, err := decodeGroup(payload); err == nil {
+				s2, e2, err := decodeGroup(encodeGroup(s, e))
+				assert.NilError(t, err)
+				assert.DeepEqual(t, s2, s)
+				assert.DeepEqual(t, e2, e)
+			}
+		}
+	})
+}
--- a/internal/wal/load.go
+++ b/internal/wal/load.go
@@ -33,13 +33,8 @@
 		}
 	}
 	r := replay{}
-	for i, number := range segments {
-		if i > 0 && number != segments[i-1]+1 {
-			return State{}, corrupt("segment %016x is missing", segments[i-1]+1)
-		}
-		if err := l.loadSegment(&r, number, i == len(segments)-1); err != nil {
-			return State{}, err
-		}
+	if err := l.loadSegments(&r, segments); err != nil {
+		return State{}, err
 	}
 	if n := len(snapshots); n > 0 {
 		if r.state.Snapshot, err = l.loadSnapshot(snapshots[n-1]); err != nil {
@@ -57,13 +52,49 @@
 	return append(numbers, n), nil
 }
 
-func (l *Log) loadSegment(r *replay, number uint64, newest bool) error {
-	name := segmentName(number)
-	data, err := l.fs.ReadFile(l.path(name), maxFileBytes)
-	if err != nil {
-		return diskFailed(err)
+// loadSegments replays the segments from the last one on that resets the log.
+// Those before it were about to be removed when the process ended, and may end
+// in a torn write of the process before.
+func (l *Log) loadSegments(r *replay, numbers []uint64) error {
+	contents := make([][]byte, len(numbers))
+	first := len(numbers)
+	for first > 0 {
+		first--
+		data, err := l.fs.ReadFile(l.path(segmentName(numbers[first])), maxFileBytes)
+		if err != nil {
+			return diskFailed(err)
+		}
+		contents[first] = data
+		if startsWithReset(data, numbers[first]) {
+			break
+		}
+	}
+	for i, number := range numbers {
+		l.segments = append(l.segments, segment{number: number})
+		if i > 0 && number != numbers[i-1]+1 {
+			return corrupt("segment %016x is missing", numbers[i-1]+1)
+		}
+		if i < first {
+			continue
+		}
+		if err := loadSegment(r, number, contents[i], i == first, i == len(numbers)-1); err != nil {
+			return err
+		}
 	}
-	l.segments = append(l.segments, segment{number: number})
+	return nil
+}
+
+func startsWithReset(data []byte, number uint64) bool {
+	typ, payload, _, err := decodeRecord(data, position{file: number})
+	if err != nil || typ != recordHeader {
+		return false
+	}
+	h, err := decodeHeader(payload)
+	return err == nil && h.reset
+}
+
+func loadSegment(r *replay, number uint64, data []byte, oldest, newest bool) error {
+	name := segmentName(number)
 	for offset := 0; offset < len(data); {
 		at := position{file: number, offset: uint64(offset)}
 		typ, payload, size, err := decodeRecord(data[offset:], at)
@@ -73,7 +104,7 @@
 			}
 			return corrupt("%s: bad record at offset %d", name, offset)
 		}
-		if err := r.record(typ, payload, offset == 0, len(l.segments) == 1); err != nil {
+		if err := r.record(typ, payload, offset == 0, oldest); err != nil {
 			return trace.Wrap(corrupt("%s: record at offset %d: %v", name, offset, err))
 		}
 		offset += size
@@ -87,6 +118,9 @@
 // replay applies the records of the segments in order.
 type replay struct {
 	state State
+	// reset: the log starts where a reset put it, and not where the first
+	// segment that was not removed happens to start.
+	reset bool
 }
 
 func (r *replay) record(typ RecordType, payload []byte, first, oldest bool) error {
@@ -108,7 +142,8 @@
 		return err
 	}
 	r.state.HardState = h.state
-	if h.reset || oldest {
+	if oldest {
+		r.reset = h.reset
 		r.state.PrevIndex, r.state.PrevTerm, r.state.Entries = h.prevIndex, h.prevTerm, nil
 	}
 	if h.prevIndex > r.last() {
@@ -131,13 +166,30 @@
 			return fmt.Errorf("entry %d follows entry %d", e.Index, r.last())
 		}
 		if e.Index <= r.state.PrevIndex {
-			return fmt.Errorf("entry %d replaces one behind the log's start", e.Index)
+			if err := r.replaceStart(e); err != nil {
+				return err
+			}
+			continue
 		}
 		r.state.Entries = append(r.state.Entries[:e.Index-r.state.PrevIndex-1], e)
 	}
 	return nil
 }
 
+// replaceStart takes an entry that replaces one of a removed segment. Segments
+// are removed once a snapshot covers them, so the log went on beyond its start
+// afterwards.
+func (r *replay) replaceStart(e Entry) error {
+	if r.reset {
+		return fmt.Errorf("entry %d replaces one that a snapshot covers", e.Index)
+	}
+	r.state.PrevTerm, r.state.Entries = 0, nil
+	if e.Index == r.state.PrevIndex {
+		r.state.PrevTerm = e.Term
+	}
+	return nil
+}
+
 func (r *replay) last() uint64 { return r.state.PrevIndex + uint64(len(r.state.Entries)) }
 
 // termAt returns the term of the entry at index, 0 if the log does not hold it.
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -8,24 +8,31 @@
 
 func snapshotName(index uint64) string { return fmt.Sprintf("%016x%s", index, snapshotSuffix) }
 
+// ErrSnapshotTooLarge means that a snapshot exceeds MaxRecordBytes. Nothing was
+// written.
+var ErrSnapshotTooLarge = errors.New("wal: snapshot too large")
+
 // SaveSnapshot makes s durable and then removes the older snapshots.
 func (l *Log) SaveSnapshot(s Snapshot) error {
+	if err := l.failure(); err != nil {
+		return err
+	}
 	payload := encodeSnapshot(s)
 	if len(payload) > MaxRecordBytes {
-		return diskFailed(fmt.Errorf("snapshot of %d bytes exceeds the bound of %d", len(payload), MaxRecordBytes))
+		return fmt.Errorf("%w: %d bytes", ErrSnapshotTooLarge, len(payload))
 	}
 	data := appendRecord(nil, position{file: s.Index}, recordSnapshot, payload)
 	if err := l.writeDurable(snapshotName(s.Index), data, PointBeforeSnapshotRename, PointAfterSnapshotRename); err != nil {
-		return diskFailed(err)
+		return l.fail(err)
 	}
 	names, err := l.fs.ReadDir(l.dir)
 	if err != nil {
-		return diskFailed(err)
+		return l.fail(err)
 	}
 	for _, name := range names {
 		if strings.HasSuffix(name, snapshotSuffix) && name < snapshotName(s.Index) {
 			if err := l.fs.Remove(l.path(name)); err != nil {
-				return diskFailed(err)
+				return l.fail(err)
 			}
 		}
 	}
@@ -61,8 +68,8 @@
 
 // SaveIdentity makes the voter's identity durable.
 func (l *Log) SaveIdentity(identity []byte) error {
-	if l.failed != nil {
-		return l.failed
+	if err := l.failure(); err != nil {
+		return err
 	}
 	data := appendRecord(nil, position{}, recordIdentity, identity)
 	if err := l.writeDurable(identityName, data, PointBeforeIdentityRename, PointAfterIdentityRename); err != nil {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -12,6 +12,7 @@
 	"io"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
@@ -83,8 +84,8 @@
 	offset   uint64
 	segments []segment // ascending; the last is open in file
 	state    HardState
-	failed   error
 	buf      []byte
+	failed   atomic.Pointer[error]
 }
 
 // Open reads a folder, creates it if it does not exist, and starts a new
@@ -142,8 +143,8 @@
 // with an index that is already in the log replaces it and all behind it.
 // After a failure the log accepts nothing more.
 func (l *Log) Append(s HardState, entries []Entry) error {
-	if l.failed != nil {
-		return l.failed
+	if err := l.failure(); err != nil {
+		return err
 	}
 	if l.offset > uint64(l.segmentBytes) && len(entries) > 0 {
 		if err := l.rotate(entries[0]); err != nil {
@@ -254,8 +255,8 @@
 
 // Reset replaces the whole log by the hard state and entries behind prevIndex.
 func (l *Log) Reset(s HardState, prevIndex, prevTerm uint64, entries []Entry) error {
-	if l.failed != nil {
-		return l.failed
+	if err := l.failure(); err != nil {
+		return err
 	}
 	var groups [][]byte
 	for rest := entries; len(rest) > 0; {
@@ -282,8 +283,8 @@
 // Compact removes the segments whose entries all have an index of at most
 // index. A durable snapshot must cover them.
 func (l *Log) Compact(index uint64) error {
-	if l.failed != nil {
-		return l.failed
+	if err := l.failure(); err != nil {
+		return err
 	}
 	n := 0
 	for n < len(l.segments)-1 && l.segments[n].last <= index {
@@ -320,10 +321,16 @@
 // fail records the first failed write or sync. What the file holds is unknown
 // from then on.
 func (l *Log) fail(err error) error {
-	if l.failed == nil {
-		l.failed = diskFailed(err)
+	err = diskFailed(err)
+	l.failed.CompareAndSwap(nil, &err)
+	return l.failure()
+}
+
+func (l *Log) failure() error {
+	if err := l.failed.Load(); err != nil {
+		return *err
 	}
-	return l.failed
+	return nil
 }
 
 func diskFailed(err error) error {
@@ -343,8 +350,6 @@
 	if l.lock != nil {
 		errs = append(errs, l.lock.Close())
 	}
-	if l.failed == nil {
-		l.failed = diskFailed(errors.New("the log is closed"))
-	}
+	_ = l.fail(errors.New("the log is closed"))
 	return errors.Join(errs...)
 }
