Ignore heartbeat rounds of earlier terms

Cause: the answer to a message of an old term repeated that message's round under the current term. A leader that restarted and led again counted it as an answer to its own round of the same number, which start over in each term. Ruled out: duplicated answers within one term; they carry rounds that were sent. Quorum contact could have been claimed without a quorum. Conclusion: such answers carry no round, and a leader ignores answers without.

The simulation comes with this change: one leader per term, log matching, committed entries, state machine equality, votes by identity, quorum contact, linearizable registers and convergence are checked under message loss, delay, repetition, partitions, crashes, lost, full and failing disks.

--- a/internal/agreement/applier.go
+++ b/internal/agreement/applier.go
@@ -1,6 +1,10 @@
 package agreement
 
-import "github.com/endivetrack/endivetrack/internal/wal"
+import (
+	"errors"
+
+	"github.com/endivetrack/endivetrack/internal/wal"
+)
 
 // task is one piece of work for the goroutine that drives the state machine.
 type task struct {
@@ -14,7 +18,9 @@
 	applied  uint64
 	results  []applyResult
 	snapshot *wal.Snapshot // durable
-	err      error
+	// snapshotErr means that no snapshot could be taken; the log stays longer.
+	snapshotErr error
+	err         error
 }
 
 type applyResult struct {
@@ -36,11 +42,7 @@
 		r.err = a.machine.Restore(t.restore.Data)
 		a.applied = t.restore.Index
 	case t.snapshot != nil:
-		s := *t.snapshot
-		if s.Data, r.err = a.machine.Snapshot(); r.err == nil {
-			r.err = a.store.SaveSnapshot(s)
-		}
-		r.snapshot = &s
+		r.snapshot, r.snapshotErr, r.err = a.snapshot(*t.snapshot)
 	}
 	for _, e := range t.entries {
 		ar := applyResult{index: e.Index, term: e.Term}
@@ -54,6 +56,21 @@
 	return r
 }
 
+func (a *applier) snapshot(s wal.Snapshot) (saved *wal.Snapshot, refused, failed error) {
+	var err error
+	if s.Data, err = a.machine.Snapshot(); err != nil {
+		return nil, err, nil
+	}
+	err = a.store.SaveSnapshot(s)
+	switch {
+	case errors.Is(err, wal.ErrSnapshotTooLarge):
+		return nil, err, nil
+	case err != nil:
+		return nil, nil, err
+	}
+	return &s, nil, nil
+}
+
 // schedule decides what the state machine does next.
 type schedule struct {
 	handed     uint64 // entries up to here were handed over
--- a/internal/agreement/bootstrap.go
+++ b/internal/agreement/bootstrap.go
@@ -35,7 +35,8 @@
 		return
 	}
 	c.hello.next = c.now.Add(2 * c.cfg.HeartbeatInterval)
-	if c.isCoordinator() && !c.hello.exists && c.tryForm() {
+	if c.isCoordinator() && c.rules.mayForm(c) {
+		c.form()
 		return
 	}
 	c.hello.unformed = nil
@@ -81,24 +82,23 @@
 	return least.Name == c.cfg.Self.Name
 }
 
-// tryForm writes the first log entry if all first voters answered.
-func (c *core) tryForm() bool {
+// form writes the first log entry, which names the first voters.
+func (c *core) form() {
 	m := membership{}
 	for _, b := range c.cfg.Bootstrap {
-		x := c.cfg.Self
-		if b.Name != c.cfg.Self.Name {
-			var ok bool
-			if x, ok = c.hello.unformed[b.Name]; !ok {
-				return false
-			}
+		x, ok := c.hello.unformed[b.Name]
+		if b.Name == c.cfg.Self.Name {
+			x, ok = c.cfg.Self, true
+		}
+		if ok {
+			m = m.with(Member{Name: b.Name, Incarnation: x.Incarnation, Address: b.Address, Voter: true})
 		}
-		m = m.with(Member{Name: b.Name, Incarnation: x.Incarnation, Address: b.Address, Voter: true})
 	}
 	m.Group = groupID(m.Members)
 	data, err := m.encode()
 	if err != nil {
 		c.violated("membership does not encode: %v", err)
-		return false
+		return
 	}
 	c.acceptForm(wal.Entry{Index: 1, Term: firstTerm, Type: wal.EntryMembership, Data: data})
 	for _, v := range c.members().voters() {
@@ -106,7 +106,6 @@
 			c.sendForm(v)
 		}
 	}
-	return true
 }
 
 func (c *core) acceptForm(e wal.Entry) {
--- a/internal/agreement/change.go
+++ b/internal/agreement/change.go
@@ -7,17 +7,13 @@
 	"github.com/endivetrack/endivetrack/internal/wal"
 )
 
-// changeMembers appends a membership. Only one uncommitted change exists at a
-// time, and none before an entry of the leader's own term is committed: with
-// either, two majorities without a common member could decide.
+// changeMembers appends a membership. It is in force at once.
 func (c *core) changeMembers(m membership) (uint64, error) {
 	switch {
 	case c.role != Leader:
 		return 0, c.notLeader()
-	case c.members().Index > c.commit:
-		return 0, fmt.Errorf("%w: another change is not committed yet", ErrMembershipChange)
-	case c.commit < c.termStart:
-		return 0, fmt.Errorf("%w: the leader has not committed an entry of its term yet", ErrMembershipChange)
+	case !c.rules.mayChange(c):
+		return 0, fmt.Errorf("%w: an earlier change or the first entry of the leader's term is not committed yet", ErrMembershipChange)
 	case len(m.voters()) == 0 || len(m.voters()) > maxVoters || len(m.Members)-len(m.voters()) > maxLearners:
 		return 0, fmt.Errorf("%w: %d voters and %d learners", ErrMembershipChange, len(m.voters()), len(m.Members)-len(m.voters()))
 	case !c.quorumInContact(m):
@@ -46,7 +42,7 @@
 			n++
 		}
 	}
-	return n >= m.quorum()
+	return n >= c.rules.quorum(len(m.voters()))
 }
 
 func (c *core) notLeader() error {
@@ -121,7 +117,7 @@
 // lost incarnation is removed, then the new one is promoted. In this order
 // neither step needs more voters than were needed before.
 func (c *core) repairMembers() {
-	if c.cfg.ReplaceAfter <= 0 || c.members().Index > c.commit || c.commit < c.termStart {
+	if c.cfg.ReplaceAfter <= 0 || !c.rules.mayChange(c) {
 		return
 	}
 	for _, x := range c.members().Members {
--- a/internal/agreement/core.go
+++ b/internal/agreement/core.go
@@ -39,9 +39,10 @@
 // out.entries durable, in this order: send out.early, persist, call persisted,
 // send out.late.
 type core struct {
-	cfg  coreConfig
-	rand *rand.Rand
-	now  time.Time
+	cfg   coreConfig
+	rules rules
+	rand  *rand.Rand
+	now   time.Time
 
 	state       wal.HardState
 	log         memLog
@@ -97,6 +98,7 @@
 func newCore(cfg coreConfig, seed uint64, now time.Time, s wal.State) (*core, error) {
 	c := &core{
 		cfg:      cfg,
+		rules:    safeRules(),
 		rand:     rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		now:      now,
 		state:    s.HardState,
@@ -154,15 +156,6 @@
 // isVoter reports whether the node is a voter as far as its log tells.
 func (c *core) isVoter() bool { return c.members().isVoter(c.cfg.Self.Incarnation) }
 
-// mayVote reports whether the node may cast a vote. A learner with a disk
-// answers too: its promotion may be in the candidate's log and not yet in its
-// own, and only the candidate's members decide whether its vote counts. A node
-// that no group lists, and one without a disk, must not vote.
-func (c *core) mayVote() bool {
-	_, listed := c.members().find(c.cfg.Self.Incarnation)
-	return listed && !c.cfg.Self.Diskless
-}
-
 // settleRole shows a follower that is not a voter as a learner.
 func (c *core) settleRole() {
 	if c.role != Follower && c.role != Learner {
@@ -337,6 +330,9 @@
 	}
 	answer := c.answer(t, m)
 	answer.Reject = true
+	// The sender may lead again in the current term, with rounds that start
+	// over; this answer says nothing about them.
+	answer.Round = 0
 	c.sendLate(answer)
 }
 
--- a/internal/agreement/election.go
+++ b/internal/agreement/election.go
@@ -52,18 +52,9 @@
 	}
 }
 
-// logUpToDate reports whether a candidate's log holds all that is committed
-// as far as this node can tell.
-func (c *core) logUpToDate(m Message) bool {
-	if m.LogTerm != c.log.lastTerm() {
-		return m.LogTerm > c.log.lastTerm()
-	}
-	return m.Index >= c.log.last()
-}
-
 func (c *core) onPreVote(m Message) {
 	answer := c.answer(MsgPreVoteAnswer, m)
-	if m.Term > c.state.Term && c.mayVote() && !c.hearsLeader() && c.logUpToDate(m) {
+	if m.Term > c.state.Term && c.rules.mayVote(c) && !c.hearsLeader() && c.rules.logUpToDate(c, m) {
 		answer.Term = m.Term
 	} else {
 		answer.Reject = true
@@ -79,12 +70,12 @@
 }
 
 func (c *core) onVote(m Message) {
-	if !c.mayVote() {
+	if !c.rules.mayVote(c) {
 		return
 	}
 	answer := c.answer(MsgVoteAnswer, m)
 	free := c.state.Vote == "" || c.state.Vote == m.From.Incarnation
-	if free && c.logUpToDate(m) && c.leader.Incarnation == "" && c.role != Leader {
+	if free && c.rules.logUpToDate(c, m) && c.leader.Incarnation == "" && c.role != Leader {
 		c.setState(wal.HardState{Term: c.state.Term, Vote: m.From.Incarnation})
 		c.resetElectionTimer()
 	} else {
@@ -102,7 +93,7 @@
 			n++
 		}
 	}
-	if n < c.members().quorum() {
+	if n < c.rules.quorum(len(c.members().voters())) {
 		return
 	}
 	if c.preVoting {
--- a/internal/agreement/membership.go
+++ b/internal/agreement/membership.go
@@ -60,8 +60,6 @@
 	return ok && x.Voter
 }
 
-func (m membership) quorum() int { return len(m.voters())/2 + 1 }
-
 // with returns a copy in which x replaces the member of its incarnation.
 func (m membership) with(x Member) membership {
 	out := m.without(x.Incarnation)
--- a/internal/agreement/node.go
+++ b/internal/agreement/node.go
@@ -274,6 +274,9 @@
 		n.replica.core.violated("applied index goes from %d back to %d", n.applied, r.applied)
 	}
 	n.applied = r.applied
+	if r.snapshotErr != nil {
+		n.event("agreement.snapshot_failed", "reason", r.snapshotErr.Error())
+	}
 	if r.snapshot != nil {
 		n.event("agreement.snapshot")
 		return n.replica.store.Compact(n.replica.core.compact(*r.snapshot, n.config.KeepEntries))
--- a/internal/agreement/read.go
+++ b/internal/agreement/read.go
@@ -19,7 +19,7 @@
 		c.out.reads = append(c.out.reads, readResult{id: id, err: c.notLeader()})
 		return
 	}
-	c.reads = append(c.reads, readRequest{id: id, round: c.round + 1})
+	c.reads = append(c.reads, readRequest{id: id, round: c.rules.readRound(c)})
 }
 
 // advanceReads answers the requests whose round a quorum answered. The commit
--- a/internal/agreement/replication.go
+++ b/internal/agreement/replication.go
@@ -141,24 +141,24 @@
 			answered = append(answered, p.round)
 		}
 	}
-	round := quorumValue(answered)
+	round := c.quorumValue(answered)
 	if round <= c.quorumRound {
 		return
 	}
 	c.quorumRound = round
 	for len(c.rounds) > 0 && c.rounds[0].number <= round {
-		c.quorumContact = c.rounds[0].sent
+		c.quorumContact = c.rules.contactTime(c, c.rounds[0])
 		c.rounds = c.rounds[1:]
 	}
 }
 
-// quorumValue returns the highest value that a majority reaches.
-func quorumValue(values []uint64) uint64 {
+// quorumValue returns the highest value that a quorum reaches.
+func (c *core) quorumValue(values []uint64) uint64 {
 	if len(values) == 0 {
 		return 0
 	}
 	slices.Sort(values)
-	return values[(len(values)-1)/2]
+	return values[len(values)-c.rules.quorum(len(values))]
 }
 
 // resendLost sends again what was not answered for two heartbeats. A peer that
@@ -186,8 +186,8 @@
 
 func (c *core) onFollowerAnswer(m Message) {
 	p, ok := c.peers[m.From.Incarnation]
-	if !ok {
-		return
+	if !ok || m.Round == 0 {
+		return // not an answer to a message of this term
 	}
 	p.contact = c.now
 	if m.Round > c.round {
@@ -247,8 +247,8 @@
 			matches = append(matches, p.match)
 		}
 	}
-	index := quorumValue(matches)
-	if index <= c.commit || c.log.term(index) != c.state.Term {
+	index := c.quorumValue(matches)
+	if index <= c.commit || !c.rules.mayCommit(c, index) {
 		return
 	}
 	c.setCommit(index)
@@ -267,7 +267,7 @@
 			c.sendLate(answer)
 			return nil
 		}
-	} else if prev > 0 && (prev > c.log.last() || c.log.term(prev) != m.LogTerm) {
+	} else if !c.rules.matches(c, prev, m.LogTerm) {
 		answer.Reject, answer.Index = true, c.log.conflictHint(prev)
 		c.sendLate(answer)
 		return nil
--- /dev/null
+++ b/internal/agreement/sim_test.go
@@ -0,0 +1,633 @@
+package agreement
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/endivetrack/endivetrack/internal/faultpoint"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/wal"
+	"github.com/endivetrack/endivetrack/internal/wal/waltest"
+)
+
+const simStep = 5 * time.Millisecond
+
+// simCommand sets a register.
+type simCommand struct{ Key, Value int }
+
+// simMachine is a set of registers and a hash over the whole history.
+type simMachine struct {
+	Chain     uint64
+	Registers map[int]int
+}
+
+func (m *simMachine) Apply(index uint64, command []byte) any {
+	var c simCommand
+	if err := json.Unmarshal(command, &c); err != nil {
+		return err
+	}
+	m.Registers[c.Key] = c.Value
+	m.Chain = simHash(m.Chain, index, command)
+	return nil
+}
+
+func (m *simMachine) Snapshot() ([]byte, error) { return json.Marshal(m) }
+
+func (m *simMachine) Restore(data []byte) error {
+	*m = simMachine{}
+	return json.Unmarshal(data, m)
+}
+
+func simHash(parts ...any) uint64 {
+	h := fnv.New64a()
+	fmt.Fprint(h, parts...)
+	return h.Sum64()
+}
+
+// simNode is one slot of the simulation: a name and address whose process and
+// disk come and go.
+type simNode struct {
+	name      string
+	diskless  bool
+	disk      *waltest.MemFS
+	up        bool
+	restartAt time.Time
+	r         replica
+	machine   *simMachine
+	applier   *applier
+	schedule  schedule
+	checked   uint64 // commit index up to which the log was compared
+	waiters   map[uint64]*simOperation
+	readers   map[uint64]*simOperation
+	faultIn   int // hits of fault points until one fails; 0: none
+	loseAgain bool
+}
+
+// simOperation is one client call.
+type simOperation struct {
+	client  int
+	write   bool
+	command simCommand
+	start   time.Time
+	term    uint64
+	readAt  uint64 // index that must be applied before the read returns
+	node    *simNode
+	done    bool
+}
+
+type simMessage struct {
+	Message
+	at   time.Time
+	from *simNode
+}
+
+// simWorld is a whole group under virtual time. Everything in it follows from
+// the seed and the plan.
+type simWorld struct {
+	rng       *rand.Rand
+	now       time.Time
+	nodes     []*simNode
+	bootstrap []Member
+	messages  []simMessage
+	loss      float64
+	duplicate float64
+	blocked   map[[2]string]time.Time // no delivery until
+	slow      map[[2]string]time.Time // long delay until
+	tuneRules func(*rules)
+	tuneStore func(*simNode, storage) storage
+	identity  func(*simNode) string
+	made      int
+
+	broken     error // first broken invariant
+	leaders    map[uint64]string
+	electedAt  map[uint64]time.Time
+	committed  map[uint64]uint64 // index to hash of term, type and data
+	commitTerm map[uint64]uint64
+	lastCommit uint64
+	logged     map[[2]uint64]uint64 // (index, term) to hash
+	chains     map[uint64]uint64
+	votes      map[string]string // (incarnation, term) to candidate
+	listed     map[string]bool   // incarnations ever named by a membership
+	retired    map[string]bool   // incarnations whose disk was lost
+
+	clients    []*simOperation // the open call of each client, or nil
+	nextClient int
+	nextValue  int
+	history    []porcupine.Operation
+	finished   int
+	counts     map[string]int
+}
+
+func newSimWorld(seed uint64, voters int) *simWorld {
+	w := &simWorld{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		blocked: map[[2]string]time.Time{}, slow: map[[2]string]time.Time{},
+		leaders: map[uint64]string{}, electedAt: map[uint64]time.Time{},
+		committed: map[uint64]uint64{}, commitTerm: map[uint64]uint64{}, logged: map[[2]uint64]uint64{},
+		chains: map[uint64]uint64{}, votes: map[string]string{}, listed: map[string]bool{}, retired: map[string]bool{},
+		clients: make([]*simOperation, 4), nextClient: 4, counts: map[string]int{},
+	}
+	w.identity = func(*simNode) string {
+		w.made++
+		return fmt.Sprintf("i%d", w.made)
+	}
+	for i := range voters {
+		name := string(rune('a' + i))
+		w.bootstrap = append(w.bootstrap, Member{Name: name, Address: name})
+		w.nodes = append(w.nodes, &simNode{name: name, disk: waltest.NewMemFS()})
+	}
+	if w.rng.IntN(3) == 0 {
+		w.nodes = append(w.nodes, &simNode{name: "z", diskless: true})
+	}
+	return w
+}
+
+func (w *simWorld) fail(check, format string, args ...any) {
+	if w.broken == nil {
+		w.broken = fmt.Errorf("%s: %s", check, fmt.Sprintf(format, args...))
+	}
+}
+
+// start begins a node's process on what its disk holds.
+func (w *simWorld) start(n *simNode) {
+	self, dir := Member{Name: n.name, Address: n.name}, "disk"
+	o := wal.Options{FS: n.disk, SegmentBytes: 2048}
+	if n.diskless {
+		dir = ""
+	}
+	defer w.armFaults(n)()
+	store, state, self, err := openStorage(dir, o, self, func() string { return w.identity(n) })
+	if err != nil {
+		w.crashOn(n, err)
+		return
+	}
+	config, _ := Config{Name: n.name, Address: n.name, Bootstrap: w.bootstrap, KeepEntries: 8, ReplaceAfter: time.Second}.withDefaults()
+	cc := config.core(self)
+	cc.ChunkBytes, cc.MaxEntryBytes, cc.MaxInFlight = 64, 200, 400
+	c, err := newCore(cc, w.rng.Uint64(), w.now, state)
+	if err != nil {
+		w.fail("start", "%s: %v", n.name, err)
+		return
+	}
+	if w.tuneRules != nil {
+		w.tuneRules(&c.rules)
+	}
+	if w.tuneStore != nil {
+		store = w.tuneStore(n, store)
+	}
+	n.machine = &simMachine{Registers: map[int]int{}}
+	if state.Snapshot.Index > 0 {
+		if err := n.machine.Restore(state.Snapshot.Data); err != nil {
+			w.fail("start", "%v", err)
+		}
+	}
+	n.r = replica{core: c, store: &simStore{storage: store, w: w, n: n}}
+	n.applier = &applier{machine: n.machine, store: store, applied: state.Snapshot.Index}
+	n.schedule = schedule{handed: state.Snapshot.Index, maxCount: 20, maxBytes: 1 << 20}
+	n.checked = state.Snapshot.Index
+	n.waiters, n.readers = map[uint64]*simOperation{}, map[uint64]*simOperation{}
+	n.up = true
+}
+
+// armFaults makes the fault points of the node that runs fail as planned.
+func (w *simWorld) armFaults(n *simNode) func() {
+	faultpoint.Set(func(p faultpoint.Point) error {
+		if n.faultIn == 0 {
+			return nil
+		}
+		if n.faultIn--; n.faultIn == 0 {
+			w.counts["fault point "+string(p)]++
+			return errors.New("injected at " + string(p))
+		}
+		return nil
+	})
+	return func() { faultpoint.Set(nil) }
+}
+
+// crash ends a node's process at once; unsynced data is lost.
+func (w *simWorld) crash(n *simNode, down time.Duration) {
+	n.up, n.restartAt, n.faultIn = false, w.now.Add(down), 0
+	if n.disk != nil {
+		n.disk.Crash(w.rng)
+		n.disk.Free, n.disk.FailSyncs = -1, false
+	}
+	for _, op := range w.clients {
+		if op != nil && op.node == n {
+			w.giveUp(op)
+		}
+	}
+	w.counts["crash"]++
+}
+
+// crashOn treats a fatal error of a node: only disk faults are expected.
+func (w *simWorld) crashOn(n *simNode, err error) {
+	if code := resultcode.From(err).Code; code != resultcode.DiskFailed {
+		w.fail("program", "%s: %v", n.name, err)
+	}
+	w.crash(n, w.millis(100, 1500))
+}
+
+// loseDisk replaces a node's disk by an empty one, if the group can bear it:
+// in every membership that any node knows, a quorum keeps its disks.
+func (w *simWorld) loseDisk(n *simNode) bool {
+	if n.r.core == nil || n.diskless {
+		return false
+	}
+	own := n.r.core.cfg.Self.Incarnation
+	for _, x := range w.nodes {
+		if x.r.core == nil {
+			return false
+		}
+		voters, intact := x.r.core.members().voters(), 0
+		for _, v := range voters {
+			if v.Incarnation != own && !w.retired[v.Incarnation] {
+				intact++
+			}
+		}
+		if intact <= len(voters)/2 {
+			return false
+		}
+	}
+	w.crash(n, w.millis(50, 1500))
+	w.retired[own] = true
+	n.disk = waltest.NewMemFS()
+	w.counts["disk lost"]++
+	return true
+}
+
+func (w *simWorld) millis(least, most int) time.Duration {
+	return time.Duration(least+w.rng.IntN(most-least+1)) * time.Millisecond
+}
+
+// send puts a message on its way.
+func (w *simWorld) send(from *simNode, m Message) {
+	if m.Type == MsgVoteAnswer && !m.Reject {
+		w.noteVote(m.From.Incarnation, m.Term, m.To)
+	}
+	for {
+		link := [2]string{from.name, m.ToAddress}
+		delay := w.millis(1, 15)
+		if w.rng.IntN(50) == 0 {
+			delay += w.millis(0, 700)
+		}
+		if w.now.Before(w.slow[link]) {
+			delay += w.millis(250, 600)
+		}
+		if w.rng.Float64() >= w.loss {
+			w.messages = append(w.messages, simMessage{Message: m, at: w.now.Add(delay), from: from})
+		}
+		if w.rng.Float64() >= w.duplicate {
+			return
+		}
+	}
+}
+
+func (w *simWorld) node(name string) *simNode {
+	i := slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.name == name })
+	return w.nodes[i]
+}
+
+// deliver hands over the messages that are due, in random order.
+func (w *simWorld) deliver() {
+	var due, later []simMessage
+	for _, m := range w.messages {
+		if m.at.After(w.now) {
+			later = append(later, m)
+		} else {
+			due = append(due, m)
+		}
+	}
+	w.messages = later
+	w.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, m := range due {
+		to := w.node(m.ToAddress)
+		if !to.up || w.now.Before(w.blocked[[2]string{m.from.name, to.name}]) {
+			continue
+		}
+		if err := to.r.core.step(w.now, m.Message); err != nil && resultcode.From(err).Code == resultcode.InvariantViolation {
+			w.fail("program", "%s: %v", to.name, err)
+		}
+	}
+}
+
+// run lets virtual time pass.
+func (w *simWorld) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end) && w.broken == nil; {
+		w.now = w.now.Add(simStep)
+		w.deliver()
+		for _, n := range w.nodes {
+			if !n.up && !w.now.Before(n.restartAt) {
+				w.start(n)
+			}
+			if n.up {
+				w.runNode(n)
+			}
+		}
+		w.runClients()
+		w.checkContact()
+	}
+}
+
+func (w *simWorld) runNode(n *simNode) {
+	defer w.armFaults(n)()
+	n.r.core.tick(w.now)
+	e, err := n.r.flush(func(m Message) { w.send(n, m) })
+	if err != nil {
+		w.crashOn(n, err)
+		return
+	}
+	if e.install != nil {
+		n.schedule.installed(e.install)
+		w.counts["snapshot installed"]++
+	}
+	for _, r := range e.reads {
+		w.readAnswered(n, r)
+	}
+	w.checkNode(n)
+	for t, ok := n.schedule.next(n.r.core); ok; t, ok = n.schedule.next(n.r.core) {
+		if err := w.finish(n, n.applier.run(t)); err != nil {
+			w.crashOn(n, err)
+			return
+		}
+	}
+}
+
+func (w *simWorld) finish(n *simNode, r taskResult) error {
+	n.schedule.busy = false
+	if r.err != nil {
+		return r.err
+	}
+	for _, ar := range r.results {
+		if op, ok := n.waiters[ar.index]; ok && op.term == ar.term && !op.done {
+			w.complete(op, 0)
+		}
+		delete(n.waiters, ar.index)
+	}
+	if old, ok := w.chains[r.applied]; ok && old != n.machine.Chain {
+		w.fail("state machine equality", "%s differs at %d", n.name, r.applied)
+	}
+	w.chains[r.applied] = n.machine.Chain
+	if r.snapshot != nil {
+		return n.r.store.Compact(n.r.core.compact(*r.snapshot, 8))
+	}
+	return nil
+}
+
+// simStore compares everything that becomes durable with what other nodes hold.
+type simStore struct {
+	storage
+	w *simWorld
+	n *simNode
+}
+
+func (s *simStore) Append(h wal.HardState, entries []wal.Entry) error {
+	for _, e := range entries {
+		key, hash := [2]uint64{e.Index, e.Term}, simHash(e.Type, string(e.Data), s.n.r.core.log.term(e.Index-1))
+		if old, ok := s.w.logged[key]; ok && old != hash && s.n.r.core.log.baseIndex != e.Index-1 {
+			s.w.fail("log matching", "%s has another entry %d of term %d", s.n.name, e.Index, e.Term)
+		}
+		if s.n.r.core.log.baseIndex != e.Index-1 {
+			s.w.logged[key] = hash
+		}
+		if m, err := decodeMembership(e.Index, e.Data); e.Type == wal.EntryMembership && err == nil {
+			for _, x := range m.Members {
+				s.w.listed[x.Incarnation] = true
+			}
+		}
+	}
+	err := s.storage.Append(h, entries)
+	if err == nil && h.Vote != "" {
+		// A vote counts once it is durable; a crash before that takes it back.
+		s.w.noteVote(s.n.r.core.cfg.Self.Incarnation, h.Term, h.Vote)
+	}
+	return err
+}
+
+func (w *simWorld) noteVote(incarnation string, term uint64, candidate string) {
+	key := fmt.Sprint(incarnation, "/", term)
+	switch old, ok := w.votes[key]; {
+	case w.retired[incarnation]:
+		w.fail("old identity", "%s voted in term %d after its disk was lost", incarnation, term)
+	case !w.listed[incarnation]:
+		w.fail("old identity", "%s voted in term %d and was never a member", incarnation, term)
+	case ok && old != candidate:
+		w.fail("one vote per term", "%s voted for %s and %s in term %d", incarnation, old, candidate, term)
+	}
+	w.votes[key] = candidate
+}
+
+// checkNode compares a node's state with what was seen at any node before.
+func (w *simWorld) checkNode(n *simNode) {
+	c := n.r.core
+	for i := n.checked + 1; i <= c.commit; i++ {
+		if i <= c.log.baseIndex {
+			continue // covered by a snapshot; the state machine is compared
+		}
+		e := c.log.from(i, 0)[0]
+		hash := simHash(e.Term, e.Type, string(e.Data))
+		if old, ok := w.committed[i]; ok && old != hash {
+			w.fail("committed entries", "%s committed another entry %d", n.name, i)
+		}
+		w.committed[i], w.commitTerm[i] = hash, e.Term
+		w.lastCommit = max(w.lastCommit, i)
+	}
+	n.checked = c.commit
+	if c.role == Leader && w.leaders[c.state.Term] != c.cfg.Self.Incarnation {
+		w.checkElected(n)
+	}
+	w.checkRepair(n)
+}
+
+func (w *simWorld) checkElected(n *simNode) {
+	c := n.r.core
+	if other := w.leaders[c.state.Term]; other != "" {
+		w.fail("one leader per term", "%s and %s lead in term %d", other, c.cfg.Self.Incarnation, c.state.Term)
+	}
+	w.leaders[c.state.Term], w.electedAt[c.state.Term] = c.cfg.Self.Incarnation, w.now
+	w.counts["election"]++
+	if i := w.lastCommit; i > c.log.baseIndex && c.log.term(i) != w.commitTerm[i] {
+		w.fail("committed entries", "%s leads term %d without entry %d", n.name, c.state.Term, i)
+	}
+}
+
+// checkRepair loses a disk a second time right after the node became a voter
+// again, if planned.
+func (w *simWorld) checkRepair(n *simNode) {
+	m := n.r.core.members()
+	if m.Index > n.r.core.commit {
+		return
+	}
+	for _, v := range m.voters() {
+		if x := w.node(v.Name); x.loseAgain && x.up && x.r.core.cfg.Self.Incarnation == v.Incarnation && x != n {
+			if w.loseDisk(x) {
+				x.loseAgain = false
+				w.counts["disk lost again"]++
+			}
+		}
+	}
+}
+
+// checkContact compares each leader's quorum contact with later elections.
+func (w *simWorld) checkContact() {
+	for _, n := range w.nodes {
+		if !n.up || n.r.core.role != Leader {
+			continue
+		}
+		for term, at := range w.electedAt {
+			if term > n.r.core.state.Term && n.r.core.quorumContact.After(at) {
+				w.fail("quorum contact", "%s of term %d claims contact after the election of term %d", n.name, n.r.core.state.Term, term)
+			}
+		}
+	}
+}
+
+// runClients lets each client without an open call start one, and gives up
+// calls that take too long.
+func (w *simWorld) runClients() {
+	for i, op := range w.clients {
+		switch {
+		case op == nil:
+			if w.rng.IntN(8) == 0 {
+				w.call(i)
+			}
+		case op.readAt > 0 && op.node.applier.applied >= op.readAt:
+			w.complete(op, op.node.machine.Registers[op.command.Key])
+		case w.now.Sub(op.start) > time.Second:
+			w.giveUp(op)
+		}
+	}
+}
+
+func (w *simWorld) call(slot int) {
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if !n.up || n.r.core.role != Leader {
+		return
+	}
+	w.nextValue++
+	op := &simOperation{client: w.nextClient + slot, start: w.now, node: n, write: w.rng.IntN(2) == 0}
+	op.command = simCommand{Key: w.rng.IntN(3), Value: w.nextValue}
+	w.clients[slot] = op
+	if !op.write {
+		n.readers[uint64(w.nextValue)] = op
+		n.r.core.requestRead(uint64(w.nextValue))
+		return
+	}
+	data, _ := json.Marshal(op.command)
+	op.term = n.r.core.state.Term
+	n.waiters[n.r.core.appendEntry(wal.EntryCommand, data)] = op
+}
+
+func (w *simWorld) readAnswered(n *simNode, r readResult) {
+	op := n.readers[r.id]
+	delete(n.readers, r.id)
+	if op == nil || op.done {
+		return
+	}
+	if r.err != nil {
+		w.giveUp(op)
+		return
+	}
+	op.readAt = r.index
+}
+
+func (w *simWorld) close(op *simOperation) {
+	op.done = true
+	w.clients[slices.Index(w.clients, op)] = nil
+	w.nextClient += len(w.clients) // one call per client keeps calls with unknown outcome apart
+}
+
+func (w *simWorld) complete(op *simOperation, value int) {
+	w.close(op)
+	w.finished++
+	w.history = append(w.history, porcupine.Operation{
+		ClientId: op.client, Input: *op, Call: op.start.UnixNano(), Output: value, Return: w.now.UnixNano(),
+	})
+}
+
+// giveUp ends a call without an answer. A write may still take effect at any
+// later time; a read does not matter.
+func (w *simWorld) giveUp(op *simOperation) {
+	w.close(op)
+	if op.write {
+		w.history = append(w.history, porcupine.Operation{
+			ClientId: op.client, Input: *op, Call: op.start.UnixNano(), Output: 0, Return: w.now.Add(time.Hour).UnixNano(),
+		})
+	}
+}
+
+// registerModel is a set of registers; each is checked by itself.
+var registerModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[int][]porcupine.Operation{}
+		for _, o := range history {
+			key := o.Input.(simOperation).command.Key
+			byKey[key] = append(byKey[key], o)
+		}
+		var out [][]porcupine.Operation
+		for _, part := range byKey {
+			out = append(out, part)
+		}
+		return out
+	},
+	Init: func() any { return 0 },
+	Step: func(state, input, output any) (bool, any) {
+		op := input.(simOperation)
+		if op.write {
+			return true, op.command.Value
+		}
+		return output.(int) == state.(int), state
+	},
+}
+
+// settle ends all faults and waits until every node has applied a new command.
+func (w *simWorld) settle() {
+	w.loss, w.duplicate = 0, 0
+	clear(w.blocked)
+	clear(w.slow)
+	for _, n := range w.nodes {
+		n.loseAgain, n.faultIn = false, 0
+		if n.disk != nil {
+			n.disk.Free, n.disk.FailSyncs = -1, false
+		}
+	}
+	target, finished := w.lastCommit, w.finished
+	for range 400 {
+		w.run(100 * time.Millisecond)
+		if w.broken != nil || (w.finished > finished+2 && w.allApplied(target)) {
+			return
+		}
+	}
+	w.fail("convergence", "no progress on all nodes after the faults ended:\n%s", w.describe())
+}
+
+func (w *simWorld) allApplied(index uint64) bool {
+	return !slices.ContainsFunc(w.nodes, func(n *simNode) bool { return !n.up || n.applier.applied < index })
+}
+
+func (w *simWorld) describe() string {
+	out := ""
+	for _, n := range w.nodes {
+		if c := n.r.core; c != nil {
+			out += fmt.Sprintf("%s up=%v %s %s term=%d vote=%s commit=%d last=%d base=%d members=%+v\n", n.name, n.up,
+				c.cfg.Self.Incarnation, c.role, c.state.Term, c.state.Vote, c.commit, c.log.last(), c.log.baseIndex, c.members().Members)
+		}
+	}
+	return out
+}
+
+// checkHistory decides whether the registers were linearizable.
+func (w *simWorld) checkHistory() {
+	if w.broken != nil {
+		return
+	}
+	if r := porcupine.CheckOperationsTimeout(registerModel, w.history, 20*time.Second); r != porcupine.Ok {
+		w.fail("linearizability", "%d operations: %s", len(w.history), r)
+	}
+}
