--- /dev/null
+++ b/internal/entry/classify/classify.go
@@ -0,0 +1,154 @@
+// Package classify derives what admission needs to know from a request.
+package classify
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/entry/access"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/settings"
+)
+
+// Units that docs/targets.md defines for prompts.
+const (
+	prefixBlockBytes = 64
+	bytesPerToken    = 4
+	// maxPrefixHashes bounds the hashes sent with one request; blocks beyond
+	// the first 4 KiB are left out.
+	maxPrefixHashes = 64
+)
+
+// Generation is a classified generation request.
+type Generation struct {
+	Service string
+	Class   settings.Class
+	Request *api.RequestClass
+	Stream  bool
+	// Body is the body for the engine: streamed, bounded and with the class's
+	// priority.
+	Body []byte
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type chatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	MaxTokens *int      `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+// ClassOf returns the class that a request runs in: the named one, or the
+// account's default.
+func ClassOf(id *access.Identity, named string) (string, settings.Class, error) {
+	if named == "" {
+		named = id.Account.DefaultClass
+	}
+	class, ok := id.Team.Classes[named]
+	if !ok {
+		return "", settings.Class{}, resultcode.Newf(resultcode.BadRequest, "class %q does not exist", named)
+	}
+	return named, class, nil
+}
+
+// ParseGeneration checks and classifies the body of a generation request.
+func ParseGeneration(id *access.Identity, className string, body []byte) (*Generation, error) {
+	var req chatRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		return nil, resultcode.Newf(resultcode.BadRequest, "the body does not decode: %v", err)
+	}
+	if req.MaxTokens != nil && *req.MaxTokens < 1 {
+		return nil, resultcode.Newf(resultcode.BadRequest, "max_tokens must be at least 1")
+	}
+	if len(req.Messages) == 0 {
+		return nil, resultcode.Newf(resultcode.BadRequest, "messages must not be empty")
+	}
+	service, ok := id.Team.ServiceForModel(req.Model)
+	if !ok {
+		return nil, resultcode.Newf(resultcode.UnknownModel, "no service serves model %q", req.Model)
+	}
+	if !id.MayCall(service) {
+		return nil, resultcode.Newf(resultcode.Forbidden, "account %q may not call service %q", id.AccountName, service)
+	}
+	if limit := id.Team.Services[service].MaxBodyBytes; int64(len(body)) > limit {
+		return nil, resultcode.Newf(resultcode.BodyTooLarge, "the body exceeds %d bytes", limit)
+	}
+	name, class, err := ClassOf(id, className)
+	if err != nil {
+		return nil, err
+	}
+	maxTokens := class.MaxTokens
+	if req.MaxTokens != nil {
+		maxTokens = min(maxTokens, *req.MaxTokens)
+	}
+	prompt := promptText(req.Messages)
+	engineBody, err := engineBody(body, maxTokens, class.Priority)
+	if err != nil {
+		return nil, err
+	}
+	return &Generation{
+		Service: service, Class: class, Stream: req.Stream, Body: engineBody,
+		Request: &api.RequestClass{
+			Account: id.AccountName, Model: req.Model, Class: name,
+			PromptTokens: PromptTokens(len(prompt)), MaxTokens: uint32(maxTokens),
+			PrefixHashes: PrefixHashes(prompt),
+		},
+	}, nil
+}
+
+// promptText joins the text of all messages. Content that is not a plain
+// string counts as it is written.
+func promptText(messages []message) []byte {
+	var out bytes.Buffer
+	for _, m := range messages {
+		var text string
+		if json.Unmarshal(m.Content, &text) == nil {
+			out.WriteString(text)
+		} else {
+			out.Write(m.Content)
+		}
+	}
+	return out.Bytes()
+}
+
+// PromptTokens estimates the tokens of a prompt of n bytes.
+func PromptTokens(n int) uint32 { return uint32((n + bytesPerToken - 1) / bytesPerToken) }
+
+// PrefixHashes returns the hashes of the first 1, 2, ... whole blocks.
+func PrefixHashes(prompt []byte) []uint64 {
+	blocks := min(len(prompt)/prefixBlockBytes, maxPrefixHashes)
+	out := make([]uint64, 0, blocks)
+	digest := xxhash.New()
+	for i := range blocks {
+		_, _ = digest.Write(prompt[i*prefixBlockBytes : (i+1)*prefixBlockBytes]) // never fails
+		out = append(out, digest.Sum64())
+	}
+	return out
+}
+
+// engineBody sets the fields that the entry decides and keeps all others.
+func engineBody(body []byte, maxTokens, priority int) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, resultcode.Newf(resultcode.BadRequest, "the body does not decode: %v", err)
+	}
+	for key, value := range map[string]any{"stream": true, "max_tokens": maxTokens, "priority": priority} {
+		text, err := json.Marshal(value)
+		if err != nil {
+			return nil, resultcode.Newf(resultcode.Internal, "encode %s: %v", key, err)
+		}
+		fields[key] = text
+	}
+	out, err := json.Marshal(fields)
+	if err != nil {
+		return nil, resultcode.Newf(resultcode.Internal, "encode body: %v", err)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/entry/query/query.go
@@ -0,0 +1,173 @@
+package query
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/entry/reply"
+	"github.com/endivetrack/endivetrack/internal/peerauth"
+	"github.com/endivetrack/endivetrack/internal/process"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/session"
+)
+
+// Deps are the parts that the service reads.
+type Deps struct {
+	Name          string
+	Source        session.Source
+	Env           *process.Env
+	AddressTTL    time.Duration
+	PeerKeyDigest string
+	// Running is the number of generations in progress, Held that of permits.
+	Running func() int
+	Held    func() int
+}
+
+// Service answers queries.
+type Service struct {
+	Deps
+}
+
+type addressesAnswer struct {
+	TTLMS     int64          `json:"ttl_ms"`
+	Addresses []addressEntry `json:"addresses"`
+}
+
+type addressEntry struct {
+	Address       string `json:"address"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// Addresses serves GET /v1/addresses.
+func (s *Service) Addresses(c echo.Context) error {
+	q := c.QueryParams()
+	view := s.Source.View()
+	ordered := Prefer(view.Instances, inService(view), q.Get("region"), q.Get("failure_domain"), rand.Shuffle)
+	answer := addressesAnswer{TTLMS: s.AddressTTL.Milliseconds(), Addresses: make([]addressEntry, 0, len(ordered))}
+	for _, i := range ordered {
+		answer.Addresses = append(answer.Addresses, addressEntry{i.GetAddress(), i.GetRegion(), i.GetFailureDomain()})
+	}
+	reply.JSON(c.Response(), answer)
+	return nil
+}
+
+// inService tells whether an instance's failure domain is in service. The
+// caller's team is not known here: a domain counts as out of service when any
+// team that declares it has taken it out.
+func inService(view *session.View) func(string) bool {
+	return func(domain string) bool {
+		for _, team := range view.Teams {
+			if d, ok := team.Settings.FailureDomains[domain]; ok && !d.IsInService() {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Prefer returns the instances that callers may use, in order of preference:
+// those in the caller's failure domain, those in its region, others; equal
+// ones in random order.
+func Prefer(instances []*api.Instance, inService func(string) bool, region, domain string, shuffle func(int, func(i, j int))) []*api.Instance {
+	var out []*api.Instance
+	for _, i := range instances {
+		if !i.GetDraining() && inService(i.GetFailureDomain()) {
+			out = append(out, i)
+		}
+	}
+	shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	distance := func(i *api.Instance) int {
+		switch {
+		case i.GetFailureDomain() == domain:
+			return 0
+		case i.GetRegion() == region:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(out, func(a, b *api.Instance) int { return cmp.Compare(distance(a), distance(b)) })
+	return out
+}
+
+// RequirePeer lets only the system's own processes and tools read what is not
+// for callers.
+func (s *Service) RequirePeer(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if !peerauth.Matches(c.Request().Header.Get(peerauth.PeerHeader), s.PeerKeyDigest) {
+			return resultcode.Newf(resultcode.Unauthenticated, "the peer key is missing or wrong")
+		}
+		return next(c)
+	}
+}
+
+type metricsAnswer struct {
+	Counters map[string]int64   `json:"counters"`
+	Gauges   map[string]float64 `json:"gauges"`
+}
+
+// Metrics serves GET /v1/metrics.
+func (s *Service) Metrics(c echo.Context) error {
+	reply.JSON(c.Response(), metricsAnswer{s.Env.Counters(), s.Env.Gauges()})
+	return nil
+}
+
+// Events serves GET /v1/events: the newest events in memory, oldest first.
+func (s *Service) Events(c echo.Context) error {
+	reply.JSON(c.Response(), s.Env.Timeline.Recent())
+	return nil
+}
+
+type statusAnswer struct {
+	Name        string            `json:"name"`
+	Session     uint64            `json:"session"`
+	Version     uint64            `json:"version"`
+	Fresh       bool              `json:"fresh"`
+	Instances   int               `json:"instances"`
+	OwnedShards []string          `json:"owned_shards"`
+	Revisions   map[string]uint64 `json:"revisions"`
+	Running     int               `json:"running"`
+	Held        int               `json:"held_permits"`
+}
+
+// Status serves GET /v1/status.
+func (s *Service) Status(c echo.Context) error {
+	view := s.Source.View()
+	answer := statusAnswer{
+		Name: s.Name, Session: s.Source.SessionID(), Version: view.Version, Fresh: s.Source.Fresh(),
+		Instances: len(view.Instances), OwnedShards: OwnedShards(view, s.Source.SessionID()),
+		Revisions: map[string]uint64{}, Running: s.Running(), Held: s.Held(),
+	}
+	for name, team := range view.Teams {
+		answer.Revisions[name] = team.Revision
+	}
+	reply.JSON(c.Response(), answer)
+	return nil
+}
+
+// OwnedShards returns the shards that the session owns, sorted.
+func OwnedShards(view *session.View, sessionID uint64) []string {
+	out := []string{}
+	for key, a := range view.Assignments {
+		if sessionID != 0 && a.GetOwnerSession() == sessionID {
+			out = append(out, key.String())
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Health serves GET /v1/health: 200 while new work may be dispatched.
+func (s *Service) Health(c echo.Context) error {
+	if !s.Source.Fresh() {
+		return resultcode.Newf(resultcode.NoFreshLease, "no fresh state from the control group").WithRetryAfter(time.Second)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
--- /dev/null
+++ b/internal/entry/target/plain.go
@@ -0,0 +1,121 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+)
+
+// maxCrossed bounds the answers to other requests that are read before the
+// call is given up.
+const maxCrossed = 8
+
+// ErrTooLarge means that the target's answer exceeds the bound.
+var ErrTooLarge = errors.New("the target's answer is too large")
+
+// Request is a call to a plain service.
+type Request struct {
+	Method         string
+	URI            string // escaped path and query
+	ContentType    string
+	IdempotencyKey string
+	RequestID      string
+	Body           []byte
+	MaxAnswer      int64
+}
+
+// Answer is the complete answer to a call.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	Crossed     int // answers to other requests that came first
+}
+
+// Call sends one request on a connection of its own and reads the answer that
+// carries its request id. Nothing is ever sent twice: the request is written
+// by hand, not by a transport that may repeat it. before runs when the
+// connection is up, right before the first byte; see NotSentError.
+func Call(ctx context.Context, address string, q Request, before func() error) (*Answer, error) {
+	r, err := q.build(address)
+	if err != nil {
+		return nil, &NotSentError{err}
+	}
+	c, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
+	defer stop()
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := c.SetDeadline(deadline); err != nil {
+			return nil, &NotSentError{err}
+		}
+	}
+	if err := before(); err != nil {
+		return nil, &NotSentError{err}
+	}
+	if ctx.Err() != nil {
+		return nil, &NotSentError{context.Cause(ctx)}
+	}
+	if err := r.Write(c); err != nil {
+		return nil, fmt.Errorf("send to target: %w", err)
+	}
+	return q.read(c, r)
+}
+
+func (q Request) build(address string) (*http.Request, error) {
+	var body io.Reader
+	if len(q.Body) > 0 {
+		body = bytes.NewReader(q.Body)
+	}
+	r, err := http.NewRequest(q.Method, "http://"+address+q.URI, body)
+	if err != nil {
+		return nil, err
+	}
+	r.GetBody = nil
+	r.Header.Set("User-Agent", "endivetrack")
+	r.Header.Set(RequestIDHeader, q.RequestID)
+	if q.ContentType != "" {
+		r.Header.Set("Content-Type", q.ContentType)
+	}
+	if q.IdempotencyKey != "" {
+		r.Header.Set("Idempotency-Key", q.IdempotencyKey)
+	}
+	return r, nil
+}
+
+// read returns the answer to this request. Late answers to other requests are
+// discarded.
+func (q Request) read(c net.Conn, r *http.Request) (*Answer, error) {
+	limited := &headerLimit{r: c}
+	buffered := bufio.NewReaderSize(limited, readBuffer)
+	for crossed := range maxCrossed {
+		limited.left = maxHeaderBytes
+		answer, err := http.ReadResponse(buffered, r)
+		if err != nil {
+			return nil, fmt.Errorf("read the target's answer: %w", err)
+		}
+		limited.left = -1
+		body, err := io.ReadAll(io.LimitReader(answer.Body, q.MaxAnswer+1))
+		mine := answer.Header.Get(RequestIDHeader) == q.RequestID
+		switch {
+		case err != nil:
+			return nil, fmt.Errorf("read the target's answer: %w", err)
+		case int64(len(body)) > q.MaxAnswer && mine:
+			return nil, ErrTooLarge
+		case int64(len(body)) > q.MaxAnswer:
+			return nil, fmt.Errorf("answer to another request: %w", ErrTooLarge)
+		case answer.StatusCode < http.StatusOK || !mine:
+			continue
+		}
+		return &Answer{Status: answer.StatusCode, ContentType: answer.Header.Get("Content-Type"), Body: body, Crossed: crossed}, nil
+	}
+	return nil, fmt.Errorf("the target sent %d answers to other requests", maxCrossed)
+}
