--- /dev/null
+++ b/standin/engine/batch_test.go
@@ -0,0 +1,137 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/endivetrack/endivetrack/standin/expected"
+)
+
+func warmConfig() Config {
+	c := DefaultConfig()
+	c.ColdFor, c.ColdTokens = 0, 0
+	return c
+}
+
+func newSequence(id int, prompt string, maxTokens, priority int) *sequence {
+	return &sequence{
+		id: fmt.Sprint(id), priority: priority, prompt: expected.PromptTokens(prompt),
+		hashes: expected.PrefixHashes(prompt), plan: expected.Output(prompt, maxTokens),
+	}
+}
+
+// Guards against a batch that exceeds its memory, loses a sequence, emits more
+// than planned, or forgets tokens when it preempts.
+func TestBatchServesEverythingInBoundedMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := warmConfig()
+		c.MemoryTokens = rapid.IntRange(500, 1500).Draw(t, "memory")
+		c.MaxRunning = rapid.IntRange(1, 12).Draw(t, "max running")
+		c.CacheBlocks = rapid.IntRange(0, 40).Draw(t, "cache")
+		b := newBatch(c)
+		want, got := map[string]int{}, map[string]int{}
+		for i := range rapid.IntRange(1, 20).Draw(t, "sequences") {
+			s := newSequence(i, fmt.Sprintf("%0100d", i%3)+fmt.Sprint(i), 200, rapid.IntRange(0, 9).Draw(t, "priority"))
+			want[s.id] = s.plan.Length
+			b.add(s)
+		}
+		finished := 0
+		for range 50_000 {
+			if b.idle() {
+				break
+			}
+			out := b.step()
+			assert.Assert(t, b.resident <= c.MemoryTokens, "resident %d", b.resident)
+			assert.Assert(t, len(b.running) <= c.MaxRunning)
+			for _, s := range out.emitted {
+				got[s.id]++
+			}
+			finished += len(out.finished)
+		}
+		assert.Equal(t, finished, len(want))
+		assert.DeepEqual(t, got, want)
+	})
+}
+
+// Guards against preemption of the wrong sequence, and against preemption that
+// costs nothing: the tokens of the victim are computed again.
+func TestPreemptionTakesTheNewestOfTheLowestPriority(t *testing.T) {
+	c := warmConfig()
+	c.MemoryTokens, c.CacheBlocks, c.PrefillChunk = 120, 0, 1000
+	b := newBatch(c)
+	for i, priority := range []int{5, 1, 5} {
+		b.add(newSequence(i, fmt.Sprintf("lot %080d", i), 100, priority))
+	}
+	var victims []*sequence
+	for range 1000 {
+		out := b.step()
+		if victims = append(victims, out.preempted...); len(victims) > 0 {
+			break
+		}
+	}
+	assert.Assert(t, len(victims) > 0)
+	victim := victims[0]
+	assert.Equal(t, victim.id, "1")
+	held := victim.emitted
+	assert.Assert(t, held > 0)
+	for victim.preempted && !b.idle() {
+		b.step()
+	}
+	assert.Equal(t, victim.preempted, false)
+	assert.Assert(t, victim.emitted >= held)
+}
+
+// Guards against a cold engine that bears any load, and against one that never
+// warms up.
+func TestColdEngineFallsOverWhenPushed(t *testing.T) {
+	c := DefaultConfig()
+	c.ColdFor, c.ColdTokens = time.Minute, 50
+	run := func(n int) (per time.Duration, failed int) {
+		b := newBatch(c)
+		for i := range n {
+			b.add(newSequence(i, fmt.Sprintf("lot %d", i), 200, 5))
+		}
+		b.step()
+		out := b.step()
+		for range 20 {
+			failed += len(b.step().failed)
+		}
+		return out.duration, failed + len(out.failed)
+	}
+	bearable, none := run(c.ColdBearable)
+	over, some := run(4 * c.ColdBearable)
+	assert.Equal(t, none, 0)
+	assert.Assert(t, some > 0)
+	assert.Assert(t, over > 10*bearable, "%v against %v", over, bearable)
+
+	b := newBatch(c)
+	b.add(newSequence(1, "lot", 200, 5))
+	for range 51 {
+		b.updateCold(0)
+		b.step()
+	}
+	b.updateCold(0)
+	assert.Equal(t, b.cold, false, "warm after %d tokens", c.ColdTokens)
+	b.turnCold(0)
+	b.updateCold(2 * time.Minute)
+	assert.Equal(t, b.cold, false, "warm after ColdFor")
+}
+
+// Guards against a cache without effect: a shared prefix is not computed again.
+func TestCachedPrefixShortensPrefill(t *testing.T) {
+	c := warmConfig()
+	c.CacheBlocks = 100
+	b := newBatch(c)
+	prompt := fmt.Sprintf("%01600d", 1)
+	first := newSequence(1, prompt, 1, 5)
+	b.add(first)
+	cold := b.step()
+	b.add(newSequence(2, prompt, 1, 5))
+	warm := b.step()
+	assert.Equal(t, len(cold.added), 25)
+	assert.Assert(t, warm.duration < cold.duration-time.Duration(390)*c.PrefillPerToken)
+}
--- /dev/null
+++ b/standin/engine/http.go
@@ -0,0 +1,288 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/endivetrack/endivetrack/standin/netfault"
+)
+
+const maxBodyBytes = 16 << 20
+
+// chatRequest is the part of the usual body that the engine reads.
+type chatRequest struct {
+	Model    string `json:"model"`
+	Messages []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+	MaxTokens int  `json:"max_tokens"`
+	Stream    bool `json:"stream"`
+	Priority  int  `json:"priority"`
+}
+
+// prompt is the text that prefix hashes and output lengths derive from: the
+// contents of the messages, one after the other with a line feed between.
+func (r chatRequest) prompt() string {
+	parts := make([]string, len(r.Messages))
+	for i, m := range r.Messages {
+		parts[i] = m.Content
+	}
+	return strings.Join(parts, "\n")
+}
+
+// Faults is the body of POST /standin/faults. Absent fields change nothing.
+type Faults struct {
+	TurnCold       bool     `json:"turn_cold"`
+	Swallow        bool     `json:"swallow"` // open connections go silent for good
+	Die            bool     `json:"die"`
+	DelayMS        *float64 `json:"delay_ms"`         // before each write of a stream
+	DropCacheShare *float64 `json:"drop_cache_share"` // of cache events
+	StepFactor     *float64 `json:"step_factor"`      // on every step's duration
+	FailShare      *float64 `json:"fail_share"`       // of sequences, per step
+	StopAnnouncing *bool    `json:"stop_announcing"`
+}
+
+// Handler serves the engine. listener may be nil; it is needed for the fault
+// "swallow".
+func (e *Engine) Handler(listener *netfault.Listener) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveGenerate)
+	mux.HandleFunc("GET /v1/generations/{id}", e.serveResume)
+	mux.HandleFunc("DELETE /v1/generations/{id}", func(w http.ResponseWriter, r *http.Request) {
+		e.cancel(r.PathValue("id"))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("GET /v1/state", e.serveState)
+	mux.HandleFunc("GET /standin/record", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Snapshot()) })
+	mux.HandleFunc("POST /standin/faults", func(w http.ResponseWriter, r *http.Request) { e.serveFaults(w, r, listener) })
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	var req chatRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	if id == "" || !req.Stream || req.Priority < 0 || req.Priority > 9 {
+		http.Error(w, "needs X-Request-Id, stream and a priority from 0 to 9", http.StatusBadRequest)
+		return
+	}
+	g, refused := e.accept(id, req.prompt(), req.Priority, req.MaxTokens)
+	switch refused {
+	case refusedDuplicate:
+		http.Error(w, "the generation id was used", http.StatusConflict)
+	case refusedFull, refusedLeaving:
+		w.Header().Set("X-Not-Run", "true")
+		http.Error(w, "full or leaving", http.StatusServiceUnavailable)
+	default:
+		e.stream(w, r, g, req.Model, 0, 1)
+	}
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if err != nil || offset < 0 {
+		http.Error(w, "bad offset", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	g := e.generations[r.PathValue("id")]
+	if g == nil {
+		e.mu.Unlock()
+		http.Error(w, "unknown generation", http.StatusNotFound)
+		return
+	}
+	g.reader++
+	reader := g.reader
+	if work := e.workOf(g); work != nil {
+		work.Resumes++
+	}
+	g.notify()
+	e.mu.Unlock()
+	e.stream(w, r, g, "", offset, reader)
+}
+
+// view is what a reader sees of a generation at one moment.
+type view struct {
+	emitted, preemptions int
+	done, replaced       bool
+	outcome              string
+	changed              chan struct{}
+	delay                time.Duration
+}
+
+func (e *Engine) look(g *generation, reader int) view {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return view{
+		preemptions: g.seq.preemptions, done: g.done, outcome: g.outcome,
+		replaced: g.reader != reader, changed: g.changed, delay: e.delay, emitted: g.readable,
+	}
+}
+
+// stream sends tokens from offset on until the generation ends, the caller goes
+// or a newer reader comes.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, model string, offset, reader int) {
+	control := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Request-Id", g.seq.id)
+	w.WriteHeader(http.StatusOK)
+	heartbeat := time.NewTicker(e.config.Heartbeat)
+	defer heartbeat.Stop()
+	preemptions := 0
+	if offset > 0 {
+		preemptions = e.look(g, reader).preemptions
+	}
+	for {
+		v := e.look(g, reader)
+		if v.replaced {
+			panic(http.ErrAbortHandler)
+		}
+		if v.delay > 0 && !wait(r, v.delay) {
+			return
+		}
+		for ; preemptions < v.preemptions; preemptions++ {
+			_, _ = fmt.Fprint(w, ": preempted\n\n")
+		}
+		for ; offset < v.emitted; offset++ {
+			writeChunk(w, g.seq.id, model, offset, g.seq.plan.Token(offset), "")
+		}
+		if v.done {
+			if v.outcome != "stop" && v.outcome != "length" {
+				// A lost generation ends without [DONE], like a crashed worker.
+				panic(http.ErrAbortHandler)
+			}
+			writeChunk(w, g.seq.id, model, g.seq.plan.Length, "", v.outcome)
+			_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+			return
+		}
+		if control.Flush() != nil {
+			return
+		}
+		select {
+		case <-v.changed:
+		case <-heartbeat.C:
+			_, _ = fmt.Fprint(w, ": heartbeat\n\n")
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func wait(r *http.Request, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+type chunkDelta struct {
+	Content string `json:"content,omitempty"`
+}
+
+type chunkChoice struct {
+	Index        int        `json:"index"`
+	Delta        chunkDelta `json:"delta"`
+	FinishReason *string    `json:"finish_reason"`
+}
+
+type chunk struct {
+	ID      string         `json:"id"`
+	Object  string         `json:"object"`
+	Model   string         `json:"model"`
+	Choices [1]chunkChoice `json:"choices"`
+}
+
+func writeChunk(w http.ResponseWriter, id, model string, offset int, text, finish string) {
+	c := chunk{ID: id, Object: "chat.completion.chunk", Model: model}
+	c.Choices[0].Delta.Content = text
+	if finish != "" {
+		c.Choices[0].FinishReason = &finish
+	}
+	data, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // a chunk always encodes
+	}
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", offset, data)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if !decode(w, r, &o) {
+		return
+	}
+	if !e.order(o) {
+		http.Error(w, "older fencing number", http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, map[string]any{
+		"models": e.models, "role": e.role, "version": e.version, "fencing": e.fencing, "incarnation": e.incarnation,
+	})
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request, listener *netfault.Listener) {
+	var f Faults
+	if !decode(w, r, &f) {
+		return
+	}
+	e.journal.write("faults", f)
+	if f.Die && e.hooks.Die != nil {
+		e.hooks.Die()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f.TurnCold {
+		wasCold := e.batch.cold
+		if e.batch.turnCold(time.Since(e.started)); !wasCold {
+			e.noteCold(time.Now())
+		}
+	}
+	if f.DelayMS != nil {
+		e.delay = time.Duration(*f.DelayMS * float64(time.Millisecond))
+	}
+	if f.DropCacheShare != nil {
+		e.eventLoss = *f.DropCacheShare
+	}
+	if f.StepFactor != nil {
+		e.batch.slowdown = *f.StepFactor
+	}
+	if f.FailShare != nil {
+		e.batch.failShare = *f.FailShare
+	}
+	if f.StopAnnouncing != nil && e.announcer != nil {
+		e.announcer.Pause(*f.StopAnnouncing)
+	}
+	if f.Swallow && listener != nil {
+		e.record.SwallowedStreams += listener.Swallow(r)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/expected/expected.go
@@ -0,0 +1,109 @@
+// Package expected computes the answer of a stand-in engine to a prompt. The
+// engine draws the output length from a hash of the prompt, so a caller cannot
+// know it beforehand, while a check can recompute the whole text afterwards.
+package expected
+
+import (
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ShortMarker in a prompt selects the length law of short answers.
+const ShortMarker = "[class=short]"
+
+// blockBytes is the size of a prompt prefix block (docs/targets.md).
+const blockBytes = 64
+
+// Law is a log-normal distribution of output lengths with a Pareto tail.
+type Law struct {
+	Median    float64 // tokens
+	Sigma     float64 // of the logarithm
+	TailShare float64 // share of outputs drawn from the tail
+	TailStart float64 // tokens; the smallest length in the tail
+	TailAlpha float64 // exponent of the tail; below 2 the variance is infinite
+}
+
+// Laws of the two kinds of requests that the example deployments have.
+var (
+	Short = Law{Median: 8, Sigma: 0.6, TailShare: 0, TailStart: 1, TailAlpha: 1}
+	Long  = Law{Median: 180, Sigma: 0.9, TailShare: 0.08, TailStart: 600, TailAlpha: 1.3}
+)
+
+// Plan is the output to one prompt.
+type Plan struct {
+	Length int    // tokens
+	Finish string // "stop" or "length"
+	seed   uint64
+}
+
+// Output plans the answer to a prompt of which at most maxTokens are wanted; 0
+// means no bound.
+func Output(prompt string, maxTokens int) Plan {
+	seed := xxhash.Sum64String(prompt)
+	law := Long
+	if strings.Contains(prompt, ShortMarker) {
+		law = Short
+	}
+	p := Plan{Length: law.draw(seed), Finish: "stop", seed: seed}
+	if maxTokens > 0 && p.Length > maxTokens {
+		p.Length, p.Finish = maxTokens, "length"
+	}
+	return p
+}
+
+func (l Law) draw(seed uint64) int {
+	tail, u, v := uniform(seed, 1), uniform(seed, 2), uniform(seed, 3)
+	if tail < l.TailShare {
+		return int(math.Ceil(l.TailStart * math.Pow(u, -1/l.TailAlpha)))
+	}
+	normal := math.Sqrt(-2*math.Log(u)) * math.Cos(2*math.Pi*v)
+	return max(1, int(math.Round(l.Median*math.Exp(l.Sigma*normal))))
+}
+
+// uniform returns a value in (0, 1) that depends only on its arguments.
+func uniform(seed, stream uint64) float64 {
+	return (float64(mix(seed, stream)>>11) + 0.5) / (1 << 53)
+}
+
+// mix is the finalizer of splitmix64 over both values.
+func mix(a, b uint64) uint64 {
+	z := a + (b+1)*0x9e3779b97f4a7c15
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+// Token returns the text of token n. Its checksum covers the prompt and n, so a
+// token of another generation or place differs.
+func (p Plan) Token(n int) string {
+	return fmt.Sprintf("tok-%d-%04x ", n, uint16(mix(p.seed, uint64(n)+16)))
+}
+
+// Text returns tokens [from, Length) as one string.
+func (p Plan) Text(from int) string {
+	var b strings.Builder
+	for n := from; n < p.Length; n++ {
+		b.WriteString(p.Token(n))
+	}
+	return b.String()
+}
+
+// PromptTokens estimates the tokens of a prompt.
+func PromptTokens(prompt string) int { return (len(prompt) + 3) / 4 }
+
+// PrefixHashes returns the hash of every prefix of whole blocks, shortest first.
+func PrefixHashes(prompt string) []uint64 {
+	out := make([]uint64, 0, len(prompt)/blockBytes)
+	d := xxhash.New()
+	for end := blockBytes; end <= len(prompt); end += blockBytes {
+		_, _ = d.WriteString(prompt[end-blockBytes : end])
+		out = append(out, d.Sum64())
+	}
+	return out
+}
+
+// BlockTokens is the estimated number of tokens in one prefix block.
+const BlockTokens = blockBytes / 4
--- /dev/null
+++ b/standin/service/lifecycle.go
@@ -0,0 +1,70 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/endivetrack/endivetrack/standin/announce"
+)
+
+// pollInterval is how often a leaving service looks whether calls still run.
+const pollInterval = 10 * time.Millisecond
+
+// Snapshot returns a copy of the record so far.
+func (s *Service) Snapshot() Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, err := json.Marshal(s.record)
+	if err != nil {
+		panic(err) // a Record always encodes
+	}
+	var out Record
+	if err := json.Unmarshal(data, &out); err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// Announce announces the service to the entry instances until ctx ends.
+func (s *Service) Announce(ctx context.Context, entries []string, key string) {
+	a := announce.New(entries, key, s.announcement)
+	s.mu.Lock()
+	s.announcer = a
+	s.mu.Unlock()
+	a.Run(ctx, nil)
+}
+
+func (s *Service) announcement() announce.Message {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.config
+	return announce.Message{
+		Team: c.Team, Service: c.Service, Target: c.Target, Incarnation: s.record.Incarnation, Address: s.address,
+		Region: c.Region, FailureDomain: c.FailureDomain, Leaving: s.leaving, ReportedRunning: s.inFlight,
+	}
+}
+
+// Leave announces that the service leaves and returns when no call runs and
+// LeavingAccept has passed, or ctx ends.
+func (s *Service) Leave(ctx context.Context) {
+	s.mu.Lock()
+	s.leaving, s.record.LeavingAt = true, time.Now().UnixMicro()
+	s.mu.Unlock()
+	until := time.Now().Add(s.config.LeavingAccept)
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-poll.C:
+			s.mu.Lock()
+			idle := s.inFlight == 0
+			s.mu.Unlock()
+			if idle && now.After(until) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,315 @@
+// Package service is a stand-in for a plain service that runs beside the
+// engines: reads, and calls that may not be repeated. It counts what it
+// executed per idempotency key and per request id, so that checks count from
+// outside the system.
+package service
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/endivetrack/endivetrack/standin/announce"
+	"github.com/endivetrack/endivetrack/standin/netfault"
+)
+
+const maxBodyBytes = 16 << 20
+
+// Config names one service target.
+type Config struct {
+	Team, Service, Target string
+	Region, FailureDomain string
+	Seed                  uint64
+	// Latency is the time each call takes.
+	Latency time.Duration
+	// LeavingAccept is how long calls are taken after the leaving announcement.
+	LeavingAccept time.Duration
+}
+
+// Fault makes calls go wrong: the next Next calls, and Share of all others.
+type Fault struct {
+	Next  int     `json:"next"`
+	Share float64 `json:"share"`
+}
+
+// Faults is the body of POST /standin/faults. Absent fields change nothing.
+type Faults struct {
+	Late        *Fault   `json:"late"`          // answer after LateMS
+	LateMS      *float64 `json:"late_ms"`       //
+	LoseAnswer  *Fault   `json:"lose_answer"`   // run, then close the connection without an answer
+	Crossed     *Fault   `json:"crossed"`       // answer with another call's answer
+	CutAnswer   *Fault   `json:"cut_answer"`    // send half of the answer
+	DieAfterRun *Fault   `json:"die_after_run"` // run, then end the process
+	Swallow     bool     `json:"swallow"`       // open connections go silent for good
+	Die         bool     `json:"die"`
+	Stop        *bool    `json:"stop_announcing"`
+}
+
+// Answer is the body of every answer. It names the call, so that a caller can
+// tell that the answer is complete and its own.
+type Answer struct {
+	Target    string `json:"target"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	RequestID string `json:"request_id"`
+	Key       string `json:"idempotency_key,omitempty"`
+	BodyCRC   uint32 `json:"body_crc"`
+	BodyBytes int    `json:"body_bytes"`
+	Execution int64  `json:"execution"`
+}
+
+// Execution is one call that ran. At is wall clock microseconds.
+type Execution struct {
+	RequestID string `json:"request_id"`
+	Key       string `json:"idempotency_key,omitempty"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	BodyCRC   uint32 `json:"body_crc"`
+	At        int64  `json:"at"`
+	Leaving   bool   `json:"leaving"`
+}
+
+// Record is what really ran. Reads are only counted.
+type Record struct {
+	Target        string      `json:"target"`
+	Service       string      `json:"service"`
+	FailureDomain string      `json:"failure_domain"`
+	Incarnation   string      `json:"incarnation"`
+	StartedAt     int64       `json:"started_at"`
+	LeavingAt     int64       `json:"leaving_at,omitempty"`
+	Executions    []Execution `json:"executions"` // all but GET and HEAD
+	Reads         int64       `json:"reads"`
+	LastReadAt    int64       `json:"last_read_at,omitempty"`
+	// Injected faults by kind.
+	Faults map[string]int `json:"faults"`
+
+	PerKey       map[string]int `json:"per_key"`
+	PerRequestID map[string]int `json:"per_request_id"`
+	PeakInFlight int            `json:"peak_in_flight"`
+	BusySeconds  float64        `json:"busy_seconds"`
+}
+
+// Hooks connect a service to the process that hosts it.
+type Hooks struct {
+	Die     func()
+	Journal io.Writer // receives a line per execution, if not nil
+}
+
+// Service executes calls.
+type Service struct {
+	config  Config
+	address string
+	hooks   Hooks
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	faults    map[string]*Fault
+	late      time.Duration
+	record    Record
+	inFlight  int
+	last      *Answer // the newest answer, for crossed answers
+	leaving   bool
+	announcer *announce.Announcer
+}
+
+// Kinds of faults on single calls.
+const (
+	faultLate        = "late"
+	faultLoseAnswer  = "lose_answer"
+	faultCrossed     = "crossed"
+	faultCutAnswer   = "cut_answer"
+	faultDieAfterRun = "die_after_run"
+)
+
+// New returns a service that announces address.
+func New(c Config, address string, hooks Hooks) *Service {
+	now := time.Now().UnixMicro()
+	return &Service{
+		config: c, address: address, hooks: hooks, rng: rand.New(rand.NewPCG(c.Seed, 0x5e71)),
+		faults: map[string]*Fault{},
+		record: Record{
+			Target: c.Target, Service: c.Service, FailureDomain: c.FailureDomain, StartedAt: now,
+			Incarnation: fmt.Sprintf("%s-%d-%08x", c.Target, now, rand.Uint32()),
+			Faults:      map[string]int{}, PerKey: map[string]int{}, PerRequestID: map[string]int{},
+		},
+	}
+}
+
+// Handler serves calls and the test-only endpoints. listener may be nil; it is
+// needed for the fault "swallow".
+func (s *Service) Handler(listener *netfault.Listener) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /standin/record", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.Snapshot())
+	})
+	mux.HandleFunc("POST /standin/faults", func(w http.ResponseWriter, r *http.Request) { s.serveFaults(w, r, listener) })
+	mux.HandleFunc("/", s.serveCall)
+	return mux
+}
+
+func isRead(r *http.Request) bool { return r.Method == http.MethodGet || r.Method == http.MethodHead }
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		// The call arrived in part and does not run.
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.enter()
+	start := time.Now()
+	defer s.leave(start)
+	pause(r, s.config.Latency)
+	answer := s.execute(r, body)
+	if s.draw(faultDieAfterRun) && s.hooks.Die != nil {
+		s.hooks.Die()
+	}
+	if s.draw(faultLate) {
+		s.mu.Lock()
+		late := s.late
+		s.mu.Unlock()
+		pause(r, late)
+	}
+	if s.draw(faultLoseAnswer) {
+		panic(http.ErrAbortHandler)
+	}
+	s.mu.Lock()
+	previous := s.last
+	s.last = &answer
+	s.mu.Unlock()
+	if previous != nil && s.draw(faultCrossed) {
+		answer = *previous
+	}
+	s.write(w, answer)
+}
+
+func pause(r *http.Request, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.Context().Done():
+	}
+}
+
+func (s *Service) enter() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight++
+	s.record.PeakInFlight = max(s.record.PeakInFlight, s.inFlight)
+}
+
+func (s *Service) leave(start time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	s.record.BusySeconds += time.Since(start).Seconds()
+}
+
+// execute runs the call: from here on it counts as executed, whatever happens
+// to its answer.
+func (s *Service) execute(r *http.Request, body []byte) Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := Execution{
+		RequestID: r.Header.Get("X-Request-Id"), Key: r.Header.Get("Idempotency-Key"), Method: r.Method,
+		Path: r.URL.Path, BodyCRC: crc32.ChecksumIEEE(body), At: time.Now().UnixMicro(), Leaving: s.leaving,
+	}
+	if isRead(r) {
+		s.record.Reads++
+		s.record.LastReadAt = e.At
+	} else {
+		s.record.Executions = append(s.record.Executions, e)
+		s.record.PerRequestID[e.RequestID]++
+		if e.Key != "" {
+			s.record.PerKey[e.Key]++
+		}
+		s.journal(e)
+	}
+	return Answer{
+		Target: s.config.Target, Method: e.Method, Path: e.Path, RequestID: e.RequestID, Key: e.Key,
+		BodyCRC: e.BodyCRC, BodyBytes: len(body), Execution: int64(len(s.record.Executions)),
+	}
+}
+
+func (s *Service) journal(e Execution) {
+	if s.hooks.Journal == nil {
+		return
+	}
+	if line, err := json.Marshal(e); err == nil {
+		_, _ = s.hooks.Journal.Write(append(line, '\n'))
+	}
+}
+
+// draw reports whether a fault hits this call, and counts it.
+func (s *Service) draw(kind string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults[kind]
+	if f == nil {
+		return false
+	}
+	hit := f.Next > 0
+	if hit {
+		f.Next--
+	} else {
+		hit = f.Share > 0 && s.rng.Float64() < f.Share
+	}
+	if hit {
+		s.record.Faults[kind]++
+	}
+	return hit
+}
+
+func (s *Service) write(w http.ResponseWriter, a Answer) {
+	data, err := json.Marshal(a)
+	if err != nil {
+		panic(err) // an Answer always encodes
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Request-Id", a.RequestID)
+	w.Header().Set("Content-Length", fmt.Sprint(len(data)))
+	w.WriteHeader(http.StatusOK)
+	if s.draw(faultCutAnswer) {
+		_, _ = w.Write(data[:len(data)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data)
+}
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request, listener *netfault.Listener) {
+	var f Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if f.Die && s.hooks.Die != nil {
+		s.hooks.Die()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for kind, v := range map[string]*Fault{
+		faultLate: f.Late, faultLoseAnswer: f.LoseAnswer, faultCrossed: f.Crossed,
+		faultCutAnswer: f.CutAnswer, faultDieAfterRun: f.DieAfterRun,
+	} {
+		if v != nil {
+			s.faults[kind] = v
+		}
+	}
+	if f.LateMS != nil {
+		s.late = time.Duration(*f.LateMS * float64(time.Millisecond))
+	}
+	if f.Stop != nil && s.announcer != nil {
+		s.announcer.Pause(*f.Stop)
+	}
+	if f.Swallow && listener != nil {
+		listener.Swallow(r)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/service/service_test.go
@@ -0,0 +1,87 @@
+package service
+
+import (
+	"encoding/json"
+	"hash/crc32"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func call(t *testing.T, url, method, path, id, key, body string) (*http.Response, Answer, error) {
+	t.Helper()
+	req, err := http.NewRequest(method, url+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	// net/http sends a request with an idempotency key again when it can rewind
+	// the body.
+	req.GetBody = nil
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("Idempotency-Key", key)
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, Answer{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	var a Answer
+	if err == nil {
+		err = json.Unmarshal(data, &a)
+	}
+	return resp, a, err
+}
+
+func setFaults(t *testing.T, url, body string) {
+	t.Helper()
+	resp, err := http.Post(url+"/standin/faults", "application/json", strings.NewReader(body))
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusNoContent)
+}
+
+// Guards against a record that misses an execution whose answer was lost, late,
+// cut or crossed: such a record would hide double execution.
+func TestRecordCountsWhatRan(t *testing.T) {
+	died := 0
+	s := New(Config{Target: "core-1", Seed: 1}, "127.0.0.1:1", Hooks{Die: func() { died++ }})
+	server := httptest.NewServer(s.Handler(nil))
+	defer server.Close()
+
+	resp, a, err := call(t, server.URL, "POST", "/bids", "r1", "k1", "100")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Header.Get("X-Request-Id"), "r1")
+	assert.Equal(t, a.Key, "k1")
+	assert.Equal(t, a.BodyCRC, crc32.ChecksumIEEE([]byte("100")))
+
+	setFaults(t, server.URL, `{"lose_answer":{"next":1}}`)
+	_, _, err = call(t, server.URL, "POST", "/bids", "r2", "k2", "100")
+	assert.Assert(t, err != nil)
+	setFaults(t, server.URL, `{"cut_answer":{"next":1}}`)
+	_, _, err = call(t, server.URL, "POST", "/bids", "r3", "k2", "100")
+	assert.Assert(t, err != nil)
+	setFaults(t, server.URL, `{"crossed":{"next":1}}`)
+	resp, a, err = call(t, server.URL, "POST", "/payments", "r4", "k4", "100")
+	assert.NilError(t, err)
+	assert.Assert(t, resp.Header.Get("X-Request-Id") != "r4" && a.Path == "/bids")
+	setFaults(t, server.URL, `{"late":{"next":1},"late_ms":30,"die_after_run":{"next":1}}`)
+	start := time.Now()
+	_, _, err = call(t, server.URL, "POST", "/payments", "r5", "k5", "100")
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(start) >= 30*time.Millisecond)
+	assert.Equal(t, died, 1)
+	_, a, err = call(t, server.URL, "GET", "/lots/3", "r6", "", "")
+	assert.NilError(t, err)
+	assert.Equal(t, a.Path, "/lots/3")
+
+	r := s.Snapshot()
+	assert.Equal(t, len(r.Executions), 5)
+	assert.Equal(t, r.Reads, int64(1))
+	assert.DeepEqual(t, r.PerKey, map[string]int{"k1": 1, "k2": 2, "k4": 1, "k5": 1})
+	assert.Equal(t, r.PerRequestID["r2"], 1)
+	assert.DeepEqual(t, r.Faults, map[string]int{"lose_answer": 1, "cut_answer": 1, "crossed": 1, "late": 1, "die_after_run": 1})
+}
