--- /dev/null
+++ b/cmd/endivectl/main.go
@@ -0,0 +1,26 @@
+// Command endivectl is the operators' tool: it applies and reads a team's
+// settings, shows status and merges the time lines of all processes.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	for _, c := range []subcommands.Command{subcommands.HelpCommand(), subcommands.FlagsCommand(), subcommands.CommandsCommand()} {
+		subcommands.Register(c, "help")
+	}
+	subcommands.Register(&applyCommand{}, "commands")
+	subcommands.Register(&memberCommand{}, "commands")
+	subcommands.Register(&readCommand{}, "queries")
+	subcommands.Register(&statusCommand{}, "queries")
+	subcommands.Register(&checkCommand{}, "queries")
+	subcommands.Register(&timelineCommand{}, "queries")
+	subcommands.Register(&keyCommand{}, "keys")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
