--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/endivetrack/endivetrack/internal/faultpoint"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/timeline"
 )
@@ -70,7 +71,37 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleTimeout,
 	}
-	return &http.Client{Transport: clock.Transport(peerauth.Transport(peerKey, base))}
+	return &http.Client{Transport: clock.Transport(peerauth.Transport(peerKey, peerFaults{base}))}
+}
+
+// Fault points of calls to peers; the peer's address follows the prefix.
+const (
+	pointPeerSend    = "peer.send:"    // before the request leaves
+	pointPeerReceive = "peer.receive:" // after the answer came, before it is used
+)
+
+// peerFaults lets tests cut the way to or from one peer. A cut is silent: the
+// caller learns of it by its own timeout only.
+type peerFaults struct {
+	next http.RoundTripper
+}
+
+// RoundTrip passes both fault points.
+func (t peerFaults) RoundTrip(r *http.Request) (*http.Response, error) {
+	if err := faultpoint.Hit(faultpoint.Point(pointPeerSend + r.URL.Host)); err != nil {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	resp, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := faultpoint.Hit(faultpoint.Point(pointPeerReceive + r.URL.Host)); err != nil {
+		_ = resp.Body.Close()
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return resp, nil
 }
 
 // Counters returns the totals of all counters, for the metrics page.
@@ -84,8 +115,17 @@
 	return trace.NewAggregate(e.close.Close(), e.Timeline.Close())
 }
 
+// faultsPath serves fault injection; test builds only.
+const faultsPath = "/faults"
+
 // NewServer returns an HTTP server with the bounds that all processes share.
 func NewServer(handler http.Handler) *http.Server {
+	if faults := faultpoint.Handler(); faults != nil {
+		mux := http.NewServeMux()
+		mux.Handle(faultsPath, faults)
+		mux.Handle("/", handler)
+		handler = mux
+	}
 	return &http.Server{
 		Handler:           handler,
 		MaxHeaderBytes:    maxHeaderBytes,
