--- /dev/null
+++ b/standin/cluster/process.go
@@ -0,0 +1,236 @@
+// Package cluster starts the system's processes and the stand-ins on loopback
+// for tests and measurements, and lets them fail: kill, freeze, lost disk,
+// silent cuts and named fault points. Only tests and measuring programs use it.
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one started program. It is started, ended and started again by
+// its own process id only.
+type Process struct {
+	Name    string
+	Address string
+	binary  string
+	args    []string
+	logPath string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{}
+	exitErr error
+	frozen  bool
+}
+
+// pollInterval is how often a condition is looked at again.
+const pollInterval = 20 * time.Millisecond
+
+// Start starts the program; its output is appended to its log file.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(p.binary, p.args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done, p.frozen = cmd, done, false
+	go func() {
+		p.exitErr = cmd.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+// Signal sends a signal if the process still runs.
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Freeze stops the process without its noticing, until Continue.
+func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Continue lets a frozen process run on.
+func (p *Process) Continue() { p.Signal(syscall.SIGCONT) }
+
+// Kill ends the process at once and waits until it is gone.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.Done()
+}
+
+// Terminate asks for a planned stop and waits for its end.
+func (p *Process) Terminate(timeout time.Duration) error {
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.Done():
+		return p.exitErr
+	case <-time.After(timeout):
+		return fmt.Errorf("%s did not end within %v", p.Name, timeout)
+	}
+}
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.done == nil {
+		closed := make(chan struct{})
+		close(closed)
+		return closed
+	}
+	return p.done
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.Done():
+		return false
+	default:
+		return true
+	}
+}
+
+// PID returns the process id, or 0.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// Log returns the end of the process's output.
+func (p *Process) Log(most int) string {
+	b, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-most):])
+}
+
+// Rule is one rule of the fault injection of test builds.
+type Rule struct {
+	Prefix  string `json:"prefix"`
+	Action  string `json:"action"`
+	Skip    int    `json:"skip"`
+	Times   int    `json:"times"`
+	DelayMS int    `json:"delay_ms"`
+}
+
+// FaultState is what the fault injection has counted.
+type FaultState struct {
+	Hits  map[string]int `json:"hits"`
+	Fired int            `json:"fired"`
+}
+
+// SetRules replaces the process's fault rules.
+func (p *Process) SetRules(ctx context.Context, rules ...Rule) error {
+	if rules == nil {
+		rules = []Rule{}
+	}
+	body, err := json.Marshal(rules)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+p.Address+"/faults", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return doJSON(req, nil)
+}
+
+// Faults returns the process's fault point counts.
+func (p *Process) Faults(ctx context.Context) (FaultState, error) {
+	var s FaultState
+	return s, GetJSON(ctx, "http://"+p.Address+"/faults", &s)
+}
+
+// GetJSON fetches and decodes a JSON document.
+func GetJSON(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	return doJSON(req, out)
+}
+
+func doJSON(req *http.Request, out any) error {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+		return fmt.Errorf("%s: %s: %s", req.URL.Path, resp.Status, text)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// WaitUntil polls ok until it returns true or the context ends.
+func WaitUntil(ctx context.Context, what string, ok func() bool) error {
+	for {
+		if ok() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("waiting for %s: %w", what, ctx.Err())
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// freeAddresses returns n loopback addresses whose ports were free just now.
+func freeAddresses(n int) ([]string, error) {
+	out := make([]string, 0, n)
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Build compiles the system's programs and the stand-ins into dir, with fault
+// injection.
+func Build(ctx context.Context, root, dir string) error {
+	cmd := exec.CommandContext(ctx, "go", "build", "-tags", "faultinjection", "-o", dir+string(filepath.Separator), "./cmd/...", "./standin/cmd/...")
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return nil
+}
