--- /dev/null
+++ b/standin/cluster/cluster.go
@@ -0,0 +1,258 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/endivetrack/endivetrack/internal/peerauth"
+)
+
+// Team of the started deployment and its services.
+const (
+	Team          = "balle-sahel"
+	EngineService = "assistant-llm"
+	PlainService  = "auction-core"
+	Model         = "appraiser"
+	ShortClass    = "check"
+	LongClass     = "appraisal"
+)
+
+// Place is a failure domain in a region.
+type Place struct {
+	FailureDomain string
+	Region        string
+}
+
+// Places of the started deployment.
+var Places = []Place{{"dakar-a", "dakar"}, {"dakar-b", "dakar"}, {"kaolack-a", "kaolack"}}
+
+// Options size a deployment. Instances are spread over Places in turn.
+type Options struct {
+	BinDir   string
+	Dir      string // configuration, data, logs and events
+	Controls int
+	Entries  int
+	Engines  int
+	Services int
+	Accounts int
+	// EngineFlags are passed to each engine.
+	EngineFlags []string
+}
+
+// Cluster is a started deployment.
+type Cluster struct {
+	Controls []*Process
+	Entries  []*Process
+	Engines  []*Process
+	Services []*Process
+	// AccountKeys opens the client accounts, in order.
+	AccountKeys []string
+	Dir         string
+
+	options     Options
+	operatorKey string
+	targetKey   string
+	revision    uint64
+	outOfUse    map[string]bool
+}
+
+// placeOf returns the place of instance i of a kind.
+func placeOf(i int) Place { return Places[i%len(Places)] }
+
+// New writes all configuration files; Start starts the processes.
+func New(o Options) (*Cluster, error) {
+	c := &Cluster{
+		Dir: o.Dir, options: o,
+		operatorKey: peerauth.NewKey(), targetKey: peerauth.NewKey(),
+		outOfUse: map[string]bool{},
+	}
+	for range max(o.Accounts, 1) {
+		c.AccountKeys = append(c.AccountKeys, peerauth.NewKey())
+	}
+	for file, key := range map[string]string{"peer.key": peerauth.NewKey(), "operator.key": c.operatorKey, "target.key": c.targetKey} {
+		if err := c.write(file, key+"\n"); err != nil {
+			return nil, err
+		}
+	}
+	addresses, err := freeAddresses(o.Controls + o.Entries + o.Engines + o.Services)
+	if err != nil {
+		return nil, err
+	}
+	take := func() string {
+		a := addresses[0]
+		addresses = addresses[1:]
+		return a
+	}
+	for i := range o.Controls {
+		c.Controls = append(c.Controls, c.process("endivetrack-control", fmt.Sprintf("control-%d", i+1), take()))
+	}
+	for i := range o.Entries {
+		c.Entries = append(c.Entries, c.process("endivetrack-entry", fmt.Sprintf("entry-%d", i+1), take()))
+	}
+	for i := range o.Engines {
+		c.Engines = append(c.Engines, c.target("standin-engine", EngineService, fmt.Sprintf("engine-%02d", i+1), placeOf(i), take()))
+	}
+	for i := range o.Services {
+		c.Services = append(c.Services, c.target("standin-service", PlainService, fmt.Sprintf("service-%02d", i+1), placeOf(i), take()))
+	}
+	return c, c.writeConfigs()
+}
+
+func (c *Cluster) path(name string) string { return filepath.Join(c.Dir, name) }
+
+func (c *Cluster) write(name, text string) error {
+	if err := os.MkdirAll(filepath.Dir(c.path(name)), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(c.path(name), []byte(text), 0o600)
+}
+
+func (c *Cluster) process(program, name, address string) *Process {
+	return &Process{
+		Name: name, Address: address, binary: filepath.Join(c.options.BinDir, program),
+		args:    []string{"run", "-config", c.path(name + ".toml")},
+		logPath: c.path(name + ".log"),
+	}
+}
+
+func (c *Cluster) target(program, service, name string, p Place, address string) *Process {
+	args := []string{
+		"-team", Team, "-service", service, "-target", name, "-region", p.Region, "-failure-domain", p.FailureDomain,
+		"-listen", address, "-entries", strings.Join(addressesOf(c.entriesIn(p.Region)), ","),
+		"-key-file", c.path("target.key"), "-journal", c.path(name + ".journal"),
+	}
+	if service == EngineService {
+		args = append(append(args, "-models", Model), c.options.EngineFlags...)
+	}
+	return &Process{Name: name, Address: address, binary: filepath.Join(c.options.BinDir, program), args: args, logPath: c.path(name + ".log")}
+}
+
+func (c *Cluster) entriesIn(region string) []*Process {
+	var out []*Process
+	for i, e := range c.Entries {
+		if placeOf(i).Region == region {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func addressesOf(ps []*Process) []string {
+	out := make([]string, 0, len(ps))
+	for _, p := range ps {
+		out = append(out, p.Address)
+	}
+	return out
+}
+
+// DataDir returns the data folder of control instance i.
+func (c *Cluster) DataDir(i int) string { return c.path(c.Controls[i].Name + ".data") }
+
+func quoteAll(ss []string) string {
+	out := make([]string, 0, len(ss))
+	for _, s := range ss {
+		out = append(out, fmt.Sprintf("%q", s))
+	}
+	return "[" + strings.Join(out, ", ") + "]"
+}
+
+func (c *Cluster) writeConfigs() error {
+	for i, p := range c.Controls {
+		if err := c.write(p.Name+".toml", c.controlConfig(i, p)); err != nil {
+			return err
+		}
+	}
+	for i, p := range c.Entries {
+		text := c.common(p, placeOf(i)) + fmt.Sprintf("control_addresses = %s\naddress_ttl_ms = 1000\n", quoteAll(addressesOf(c.Controls)))
+		if err := c.write(p.Name+".toml", text); err != nil {
+			return err
+		}
+	}
+	return c.write("endivectl.toml", fmt.Sprintf("control_addresses = %s\noperator_key_file = %q\n", quoteAll(addressesOf(c.Controls)), c.path("operator.key")))
+}
+
+func (c *Cluster) common(p *Process, place Place) string {
+	return fmt.Sprintf("name = %q\nregion = %q\nfailure_domain = %q\nlisten = %q\npeer_key_file = %q\nevents_dir = %q\n",
+		p.Name, place.Region, place.FailureDomain, p.Address, c.path("peer.key"), c.path("events"))
+}
+
+func (c *Cluster) controlConfig(i int, p *Process) string {
+	var b strings.Builder
+	b.WriteString(c.common(p, placeOf(i)))
+	fmt.Fprintf(&b, "data_dir = %q\n", c.DataDir(i))
+	for _, m := range c.Controls {
+		fmt.Fprintf(&b, "[[bootstrap]]\nname = %q\naddress = %q\n", m.Name, m.Address)
+	}
+	fmt.Fprintf(&b, "[[operators]]\nteam = %q\nkey_sha256 = [%q]\n", Team, peerauth.Digest(c.operatorKey))
+	return b.String()
+}
+
+// SettingsText returns the team's settings with the present failure domains.
+func (c *Cluster) SettingsText() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "team = %q\noperator_key_sha256 = [%q]\n", Team, peerauth.Digest(c.operatorKey))
+	for _, p := range Places {
+		fmt.Fprintf(&b, "[failure_domains.%s]\nregion = %q\nin_service = %t\n", p.FailureDomain, p.Region, !c.outOfUse[p.FailureDomain])
+	}
+	digest := peerauth.Digest(c.targetKey)
+	fmt.Fprintf(&b, "[services.%s]\nkind = \"engine\"\nmodels = [%q]\ntarget_key_sha256 = [%q]\n", EngineService, Model, digest)
+	fmt.Fprintf(&b, "[services.%s]\nkind = \"plain\"\nprotected_paths = [\"/bids\", \"/payments\"]\ntarget_key_sha256 = [%q]\ncall_timeout_ms = 2000\n", PlainService, digest)
+	fmt.Fprintf(&b, "[classes.%s]\npriority = 8\nshort = true\n[classes.%s]\npriority = 5\n", ShortClass, LongClass)
+	for i, k := range c.AccountKeys {
+		fmt.Fprintf(&b, "[accounts.account-%d]\nkey_sha256 = [%q]\ndefault_class = %q\nrate_per_second = 100000.0\nburst = 100000\nmax_in_flight = 100000\n",
+			i+1, peerauth.Digest(k), LongClass)
+	}
+	return b.String()
+}
+
+// All returns every process.
+func (c *Cluster) All() []*Process {
+	var out []*Process
+	for _, ps := range [][]*Process{c.Controls, c.Entries, c.Engines, c.Services} {
+		out = append(out, ps...)
+	}
+	return out
+}
+
+// Start starts every process, applies the settings and waits until each
+// instance serves.
+func (c *Cluster) Start(ctx context.Context) error {
+	for _, p := range c.All() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	if err := c.ApplySettings(ctx); err != nil {
+		return err
+	}
+	return WaitUntil(ctx, "entry instances", func() bool { return c.countServing(ctx) == len(c.Entries) })
+}
+
+// countServing counts the entry instances that answer with addresses.
+func (c *Cluster) countServing(ctx context.Context) int {
+	n := 0
+	for _, e := range c.Entries {
+		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		var answer struct {
+			Addresses []struct{ Address string } `json:"addresses"`
+		}
+		if GetJSON(callCtx, "http://"+e.Address+"/v1/addresses", &answer) == nil && len(answer.Addresses) == len(c.Entries) {
+			n++
+		}
+		cancel()
+	}
+	return n
+}
+
+// Stop ends every process that still runs.
+func (c *Cluster) Stop() {
+	for _, p := range c.All() {
+		if p.Running() {
+			p.Kill()
+		}
+	}
+}
