--- a/internal/entry/classify/classify.go
+++ b/internal/entry/classify/classify.go
@@ -103,11 +103,14 @@
 	}, nil
 }
 
-// promptText joins the text of all messages. Content that is not a plain
-// string counts as it is written.
+// promptText joins the contents of all messages with line feeds. Content that
+// is not a plain string counts as it is written.
 func promptText(messages []message) []byte {
 	var out bytes.Buffer
-	for _, m := range messages {
+	for i, m := range messages {
+		if i > 0 {
+			out.WriteByte('\n')
+		}
 		var text string
 		if json.Unmarshal(m.Content, &text) == nil {
 			out.WriteString(text)
--- a/internal/entry/command/generation.go
+++ b/internal/entry/command/generation.go
@@ -197,7 +197,11 @@
 // come back. Its stream is read on, so that its end frees the permit at once,
 // but never opened again: a reader elsewhere must not be displaced.
 func (s *Service) runOn(r *relay, entry *running) {
-	ctx, cancel := context.WithTimeoutCause(entry.life, s.Timing.Gone, errCallerGone)
+	patience := s.Timing.Gone
+	if !r.sink.resumable() {
+		patience = 0
+	}
+	ctx, cancel := context.WithTimeoutCause(entry.life, patience, errCallerGone)
 	defer cancel()
 	finished := r.readOn(ctx)
 	if !finished {
@@ -240,15 +244,10 @@
 }
 
 // uniquePart returns the part of the generation id that names the permit, so
-// that a caller can resume anywhere. An owner that did not use the request id
-// as the permit's id gets the request id appended, since the part must not be
-// guessable.
+// that a caller can resume anywhere, and that cannot be guessed. Dots separate
+// the parts of a generation id and are replaced.
 func uniquePart(h *permit.Held) string {
-	id := h.Permit.GetId()
-	if len(id) == len(stream.NewUnique()) && !strings.ContainsAny(id, ".-") {
-		return id
-	}
-	return id + permitSeparator + stream.NewUnique()
+	return strings.ReplaceAll(h.Permit.GetId(), ".", "~") + permitSeparator + stream.NewUnique()
 }
 
 const permitSeparator = "-"
@@ -256,15 +255,16 @@
 // permitOf returns the permit id that uniquePart encoded.
 func permitOf(unique string) string {
 	if i := strings.LastIndex(unique, permitSeparator); i >= 0 {
-		return unique[:i]
+		unique = unique[:i]
 	}
-	return unique
+	return strings.ReplaceAll(unique, "~", ".")
 }
 
 // discard is the sink of a generation whose caller is gone.
 type discard struct{}
 
 func (discard) accepted(string)          {}
+func (discard) resumable() bool          { return true }
 func (discard) token(int, []byte) error  { return nil }
 func (discard) finish(int, []byte) error { return nil }
 func (discard) flush() error             { return nil }
--- a/internal/entry/command/plain.go
+++ b/internal/entry/command/plain.go
@@ -205,17 +205,26 @@
 		return s.mayDispatch(call.id.TeamName, call.service, held.Permit)
 	})
 	s.release(ctx, held, s.plainReason(held, answer, err))
+	s.countCrossed(answer, err)
 	if err != nil {
 		return nil, err
 	}
 	s.pace.note(call.id.TeamName, call.service, time.Since(began))
-	s.counts.crossed.Inc(int64(answer.Crossed))
 	if charge := s.charger(call.id, held.Shard.Region); charge != nil {
 		charge(len(send.Body) + len(answer.Body))
 	}
 	return answer, nil
 }
 
+// countCrossed counts answers to other requests.
+func (s *Service) countCrossed(answer *target.Answer, err error) {
+	if err == nil {
+		s.counts.crossed.Inc(int64(answer.Crossed))
+	} else if errors.Is(err, target.ErrCrossed) {
+		s.counts.crossed.Inc(1)
+	}
+}
+
 func (s *Service) plainReason(held *permit.Held, answer *target.Answer, err error) api.ReleaseReason {
 	var coded *resultcode.Error
 	switch {
--- a/internal/entry/command/sink.go
+++ b/internal/entry/command/sink.go
@@ -24,6 +24,9 @@
 type sink interface {
 	// accepted tells the id of the generation that a target has accepted.
 	accepted(id string)
+	// resumable reports whether the caller has learned the generation's id and
+	// can come back for it.
+	resumable() bool
 	token(offset int, data []byte) error
 	finish(offset int, data []byte) error
 	// flush sends what was written, when no more input waits.
@@ -47,7 +50,6 @@
 	lastWrite time.Time
 	deadline  time.Time
 	buf       []byte
-	onBytes   func(n int)
 }
 
 func newCallerStream(w http.ResponseWriter, timing Timing, offset int) *callerStream {
@@ -56,6 +58,8 @@
 
 func (c *callerStream) accepted(id string) { c.id = id }
 
+func (c *callerStream) resumable() bool { return c.started }
+
 func (c *callerStream) start() {
 	if c.started {
 		return
@@ -159,6 +163,8 @@
 
 func (c *completion) accepted(id string) { c.id = id }
 
+func (c *completion) resumable() bool { return false }
+
 func (c *completion) token(offset int, data []byte) error {
 	if offset != c.next {
 		return invariant("token offset %d towards the caller, expected %d", offset, c.next)
--- a/internal/entry/command/write.go
+++ b/internal/entry/command/write.go
@@ -86,13 +86,14 @@
 		return nil, resultcode.Newf(resultcode.Internal, "%v", err)
 	}
 	request := &api.BeginWriteRequest{
-		SessionId: s.Source.SessionID(), Team: call.id.TeamName, Account: call.id.AccountName,
+		Team: call.id.TeamName, Account: call.id.AccountName,
 		IdempotencyKey: call.send.IdempotencyKey, BodyHash: bodyHash(call.send), Attempt: attempt,
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Timing.Control)
 	defer cancel()
 	mayBeCommitted := false
 	for {
+		request.SessionId = s.Source.SessionID()
 		answer, err := s.Control.BeginWrite(ctx, request)
 		if err == nil {
 			return answer, nil
@@ -102,10 +103,14 @@
 		if retryControl(ctx, e) {
 			continue
 		}
+		refusal := e
+		if e.Code != resultcode.Overloaded {
+			refusal = resultcode.Newf(resultcode.ControlUnavailable, "%v", e).WithRetryAfter(retryUnknown)
+		}
 		if !mayBeCommitted {
-			return nil, e
+			return nil, refusal
 		}
-		return nil, s.abort(ctx, call, attempt, resultcode.Newf(resultcode.ControlUnavailable, "%s", e.Message).WithRetryAfter(retryUnknown))
+		return nil, s.abort(ctx, call, attempt, refusal)
 	}
 }
 
@@ -120,7 +125,9 @@
 
 // retryControl waits before another attempt; false when there must be none.
 func retryControl(ctx context.Context, e *resultcode.Error) bool {
-	if e.Code != resultcode.ControlUnavailable && e.Code != resultcode.NotLeader {
+	switch e.Code {
+	case resultcode.ControlUnavailable, resultcode.NotLeader, resultcode.SessionUnknown:
+	default:
 		return false
 	}
 	timer := time.NewTimer(controlRetryDelay)
@@ -185,7 +192,7 @@
 	ctx, cancel := context.WithTimeout(ctx, call.spec.CallTimeout())
 	defer cancel()
 	send := call.send
-	send.RequestID = requestID
+	send.RequestID, send.ReadOn = requestID, true
 	answer, err := target.Call(ctx, p.GetAddress(), send, func() error {
 		if err := faultpoint.Hit(PointBeforeSend); err != nil {
 			return err
@@ -196,9 +203,7 @@
 	if fault := faultpoint.Hit(PointAfterSend); fault != nil && !isNotSent(err) {
 		return nil, fault
 	}
-	if err == nil {
-		s.counts.crossed.Inc(int64(answer.Crossed))
-	}
+	s.countCrossed(answer, err)
 	return answer, err
 }
 
@@ -209,7 +214,12 @@
 	if err := faultpoint.Hit(PointBeforeAbort); err != nil {
 		return outcomeUnknown(err.Error())
 	}
-	if err := s.commitEnd(ctx, s.endRequest(call, attempt, nil)); err != nil {
+	err := s.commitEnd(ctx, s.endRequest(call, attempt, nil))
+	if errors.Is(err, &resultcode.Error{Code: resultcode.StaleEpoch}) {
+		// The group knows no intent of this attempt: there is nothing to free.
+		return reason
+	}
+	if err != nil {
 		s.counts.unknownOutcomes.Inc(1)
 		return outcomeUnknown("nothing was sent, but the idempotency key could not be freed: " + err.Error())
 	}
@@ -230,7 +240,7 @@
 		return outcomeUnknown(err.Error())
 	}
 	stored := &api.StoredAnswer{Status: uint32(answer.Status), ContentType: answer.ContentType, Body: answer.Body}
-	if len(answer.Body) > maxStoredAnswer {
+	if len(answer.Body)+len(answer.ContentType) > maxStoredAnswer {
 		stored = tooLargeAnswer()
 	}
 	if err := s.commitEnd(ctx, s.endRequest(call, attempt, stored)); err != nil {
--- /dev/null
+++ b/internal/entry/fakes_test.go
@@ -0,0 +1,539 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/entry/command"
+	"github.com/endivetrack/endivetrack/internal/entry/permit"
+	"github.com/endivetrack/endivetrack/internal/peerauth"
+	"github.com/endivetrack/endivetrack/internal/process"
+	"github.com/endivetrack/endivetrack/internal/session"
+	"github.com/endivetrack/endivetrack/internal/settings"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Keys of the test deployment; settings hold only their digests.
+const (
+	callerKey = "caller-key-0123456789abcdef"
+	otherKey  = "other-key-0123456789abcdefg"
+	targetKey = "target-key-0123456789abcdef"
+	peerKey   = "peer-key-0123456789abcdefghi"
+)
+
+const testSettings = `
+team = "farm"
+operator_key_sha256 = ["%[1]s"]
+[failure_domains.a]
+region = "home"
+in_service = %[5]t
+[failure_domains.b]
+region = "away"
+[services.llm]
+kind = "engine"
+models = ["m"]
+target_key_sha256 = ["%[3]s"]
+[services.core]
+kind = "plain"
+protected_paths = ["/bids"]
+target_key_sha256 = ["%[3]s"]
+call_timeout_ms = 600
+max_body_bytes = 4096
+[classes.normal]
+priority = 7
+queue_timeout_ms = 1000
+[accounts.one]
+key_sha256 = ["%[2]s"]
+default_class = "normal"
+[accounts.two]
+key_sha256 = ["%[4]s"]
+default_class = "normal"
+max_in_flight = 1
+rate_per_second = 0.001
+burst = 2
+services = ["llm"]
+`
+
+func parseSettings(t testing.TB, domainInService bool) *settings.Team {
+	t.Helper()
+	text := fmt.Sprintf(testSettings, peerauth.Digest("operator"), peerauth.Digest(callerKey),
+		peerauth.Digest(targetKey), peerauth.Digest(otherKey), domainInService)
+	team, err := settings.Parse("test", []byte(text))
+	assert.NilError(t, err)
+	return team
+}
+
+// fakeSource is a session whose view and freshness the test sets.
+type fakeSource struct {
+	mu       sync.Mutex
+	view     *session.View
+	changed  chan struct{}
+	stale    atomic.Bool
+	draining atomic.Bool
+	id       uint64
+}
+
+func (f *fakeSource) View() *session.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+func (f *fakeSource) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fakeSource) Fresh() bool       { return !f.stale.Load() }
+func (f *fakeSource) SessionID() uint64 { return f.id }
+
+// SetDraining shows the instance as draining and gives its shards away, as the
+// control group does.
+func (f *fakeSource) SetDraining() {
+	f.draining.Store(true)
+	f.update(func(v *session.View) {
+		instances := v.Instances
+		v.Instances = nil
+		for _, i := range instances {
+			v.Instances = append(v.Instances, &api.Instance{
+				Name: i.GetName(), Region: i.GetRegion(), FailureDomain: i.GetFailureDomain(),
+				Address: i.GetAddress(), SessionId: i.GetSessionId(), Draining: i.GetSessionId() == f.id,
+			})
+		}
+		v.Assignments = map[session.ShardKey]*api.Assignment{}
+	})
+}
+
+func (f *fakeSource) update(change func(*session.View)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := *f.view
+	next.Version++
+	change(&next)
+	f.view = &next
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// fakeOwner grants permits at its targets in turn, as scripted.
+type fakeOwner struct {
+	mu        sync.Mutex
+	targets   []*api.Permit // address and failure domain by target
+	outcomes  []api.AcquireOutcome
+	onAcquire func(*api.AcquireRequest)
+	granted   map[string]uint64 // holder by permit id
+	next      int
+	acquires  []*api.AcquireRequest
+	releases  []*api.ReleaseRequest
+	reports   []*api.ReportRequest
+	announces []*api.AnnounceRequest
+	transfers int
+}
+
+func (f *fakeOwner) Acquire(ctx context.Context, r *api.AcquireRequest) (*api.AcquireResponse, error) {
+	f.mu.Lock()
+	hook := f.onAcquire
+	f.mu.Unlock()
+	if hook != nil {
+		hook(r)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.acquires = append(f.acquires, r)
+	if len(f.outcomes) > 0 {
+		out := f.outcomes[0]
+		f.outcomes = f.outcomes[1:]
+		if out != api.AcquireOutcome_ACQUIRE_OUTCOME_GRANTED {
+			return &api.AcquireResponse{Outcome: out, RetryAfterMs: 250}, nil
+		}
+	}
+	for _, p := range f.targets {
+		if !contains(r.GetExcludeTargets(), p.GetTarget()) && strings.HasPrefix(p.GetTarget(), r.GetShard().GetService()) {
+			f.next++
+			granted := &api.Permit{
+				Id: fmt.Sprintf("p1.%d", f.next), Target: p.GetTarget(), Address: p.GetAddress(),
+				FailureDomain: p.GetFailureDomain(), Epoch: 1,
+			}
+			f.granted[granted.GetId()] = r.GetHolderSession()
+			return &api.AcquireResponse{Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_GRANTED, Permit: granted}, nil
+		}
+	}
+	return &api.AcquireResponse{Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_NO_TARGET}, nil
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fakeOwner) Release(_ context.Context, r *api.ReleaseRequest) (*api.ReleaseResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.releases = append(f.releases, r)
+	held := f.granted[r.GetFinal().GetPermitId()] == r.GetHolderSession()
+	if held {
+		delete(f.granted, r.GetFinal().GetPermitId())
+	}
+	return &api.ReleaseResponse{Held: held}, nil
+}
+
+func (f *fakeOwner) Report(_ context.Context, r *api.ReportRequest) (*api.ReportResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports = append(f.reports, r)
+	return &api.ReportResponse{}, nil
+}
+
+func (f *fakeOwner) Transfer(_ context.Context, r *api.TransferRequest) (*api.TransferResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.transfers++
+	if _, ok := f.granted[r.GetPermitId()]; !ok {
+		return &api.TransferResponse{}, nil
+	}
+	f.granted[r.GetPermitId()] = r.GetToSession()
+	for _, p := range f.targets {
+		if p.GetTarget() == r.GetTarget() {
+			return &api.TransferResponse{Moved: true, Permit: &api.Permit{
+				Id: r.GetPermitId(), Target: p.GetTarget(), Address: p.GetAddress(), FailureDomain: p.GetFailureDomain(), Epoch: 1,
+			}}, nil
+		}
+	}
+	return &api.TransferResponse{}, nil
+}
+
+func (f *fakeOwner) Announce(_ context.Context, r *api.AnnounceRequest) (*api.AnnounceResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.announces = append(f.announces, r)
+	return &api.AnnounceResponse{}, nil
+}
+
+func (f *fakeOwner) ShardStatus(context.Context, *api.ShardStatusRequest) (*api.ShardStatusResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := &api.ShardStatusResponse{}
+	for _, p := range f.targets {
+		out.Targets = append(out.Targets, &api.TargetStatus{Name: p.GetTarget(), Address: p.GetAddress()})
+	}
+	return out, nil
+}
+
+func (f *fakeOwner) heldPermits() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.granted)
+}
+
+func (f *fakeOwner) releaseReasons() []api.ReleaseReason {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []api.ReleaseReason
+	for _, r := range f.releases {
+		out = append(out, r.GetReason())
+	}
+	return out
+}
+
+// engineConn is one request to the fake engine.
+type engineConn struct {
+	t      testing.TB
+	w      http.ResponseWriter
+	r      *http.Request
+	id     string
+	offset int
+	start  bool // a dispatch, not a read
+}
+
+func (c *engineConn) open() {
+	c.w.Header().Set("Content-Type", "text/event-stream")
+	c.w.WriteHeader(http.StatusOK)
+	c.flush()
+}
+
+func (c *engineConn) flush() { _ = http.NewResponseController(c.w).Flush() }
+
+func (c *engineConn) chunk(id string, offset int, text, finish string) {
+	reason := "null"
+	if finish != "" {
+		reason = `"` + finish + `"`
+	}
+	fmt.Fprintf(c.w, "id: %d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":%s}]}\n\n",
+		offset, id, text, reason)
+	c.flush()
+}
+
+func (c *engineConn) tokens(from, to int) {
+	for i := from; i < to; i++ {
+		c.chunk(c.id, i, fmt.Sprintf("t%d ", i), "")
+	}
+}
+
+func (c *engineConn) finish(n int) {
+	c.chunk(c.id, n, "", "stop")
+	fmt.Fprint(c.w, "data: [DONE]\n\n")
+}
+
+// silent keeps the connection open without a byte until the reader leaves.
+func (c *engineConn) silent() { <-c.r.Context().Done() }
+
+// cut ends the connection in the middle of the answer.
+func (c *engineConn) cut() { panic(http.ErrAbortHandler) }
+
+// fakeEngine answers the n-th stream request by the n-th script; the last
+// script repeats.
+type fakeEngine struct {
+	server  *httptest.Server
+	mu      sync.Mutex
+	scripts []func(*engineConn)
+	seen    []string // "POST id", "GET id offset", "DELETE id"
+	ids     []string
+}
+
+func newEngine(t testing.TB, scripts ...func(*engineConn)) *fakeEngine {
+	e := &fakeEngine{scripts: scripts}
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(t, w, r) }))
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *fakeEngine) serve(t testing.TB, w http.ResponseWriter, r *http.Request) {
+	c := &engineConn{t: t, w: w, r: r}
+	switch r.Method {
+	case http.MethodPost:
+		c.id, c.start = r.Header.Get("X-Request-Id"), true
+		_, _ = io.Copy(io.Discard, r.Body)
+	case http.MethodGet:
+		c.id = strings.TrimPrefix(r.URL.Path, "/v1/generations/")
+		_, _ = fmt.Sscan(r.URL.Query().Get("offset"), &c.offset)
+	case http.MethodDelete:
+		e.note("DELETE", "")
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	e.note(r.Method, c.id)
+	e.mu.Lock()
+	script := e.scripts[0]
+	if len(e.scripts) > 1 {
+		e.scripts = e.scripts[1:]
+	}
+	e.mu.Unlock()
+	script(c)
+}
+
+func (e *fakeEngine) note(method, id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen = append(e.seen, method)
+	if id != "" {
+		e.ids = append(e.ids, id)
+	}
+}
+
+func (e *fakeEngine) count(method string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, m := range e.seen {
+		if m == method {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *fakeEngine) address() string { return e.server.Listener.Addr().String() }
+
+// bed is one entry instance with fakes around it.
+type bed struct {
+	t      testing.TB
+	source *fakeSource
+	owner  *fakeOwner
+	writes *fakeWrites
+	entry  *Entry
+	env    *process.Env
+	base   string
+	stop   context.CancelFunc
+	ended  chan error
+}
+
+var testTiming = command.Timing{
+	Silence: 150 * time.Millisecond, Heartbeat: 30 * time.Millisecond, Gone: 300 * time.Millisecond, Control: 300 * time.Millisecond,
+}
+
+var testPermitTiming = permit.Timing{
+	Report: 50 * time.Millisecond, Call: 200 * time.Millisecond, Slice: 50 * time.Millisecond,
+	Recheck: 20 * time.Millisecond, Settle: 60 * time.Millisecond,
+}
+
+func newSource(t testing.TB, id uint64) *fakeSource {
+	view := &session.View{
+		Version: 1,
+		Teams:   map[string]session.Team{"farm": {Revision: 1, Settings: parseSettings(t, true)}},
+		Assignments: map[session.ShardKey]*api.Assignment{
+			{Team: "farm", Service: "llm", Region: "home"}:  {OwnerSession: 1, Epoch: 1},
+			{Team: "farm", Service: "core", Region: "home"}: {OwnerSession: 1, Epoch: 1},
+		},
+	}
+	return &fakeSource{view: view, changed: make(chan struct{}), id: id}
+}
+
+// newBed starts an entry instance with session 1, the owner of all shards.
+func newBed(t testing.TB) *bed {
+	owner := &fakeOwner{granted: map[string]uint64{}}
+	return startBed(t, newSource(t, 1), owner, "entry-1")
+}
+
+func startBed(t testing.TB, source *fakeSource, owner *fakeOwner, name string) *bed {
+	t.Helper()
+	cfg := process.Config{Name: name, Region: "home", FailureDomain: "a", PeerKey: peerKey, LogLevel: "error"}
+	env, err := process.NewEnv(cfg, os.Stderr)
+	assert.NilError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	source.update(func(v *session.View) {
+		v.Instances = append(append([]*api.Instance{}, v.Instances...), &api.Instance{
+			Name: name, Region: "home", FailureDomain: "a", Address: listener.Addr().String(), SessionId: source.id,
+		})
+	})
+	b := &bed{
+		t: t, source: source, owner: owner, writes: newFakeWrites(), env: env,
+		base: "http://" + listener.Addr().String(), ended: make(chan error, 1),
+	}
+	b.entry = New(Config{
+		Process: cfg, Limits: Limits{MaxRequests: 64, DrainTimeoutMS: 5000}, AddressTTL: 20 * time.Millisecond,
+		Source: source, Control: b.writes, Owner: owner, Env: env, Timing: testTiming, PermitTiming: testPermitTiming,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	b.stop = cancel
+	go func() { b.ended <- b.entry.Run(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-b.ended)
+		b.entry.commands.Wait()
+		env.Peers.CloseIdleConnections()
+		assert.NilError(t, env.Close())
+	})
+	return b
+}
+
+// offer adds a target that the owner grants permits for.
+func (b *bed) offer(name, address string) {
+	b.owner.mu.Lock()
+	defer b.owner.mu.Unlock()
+	b.owner.targets = append(b.owner.targets, &api.Permit{Target: name, Address: address, FailureDomain: "a"})
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (a answer) code(t testing.TB) (int, string) {
+	t.Helper()
+	var e struct {
+		Error struct {
+			Code      int    `json:"code"`
+			Execution string `json:"execution"`
+		} `json:"error"`
+	}
+	text := a.body
+	if i := strings.Index(text, "event: error\ndata: "); i >= 0 {
+		text = strings.TrimSpace(text[i+len("event: error\ndata: "):])
+	}
+	assert.NilError(t, json.Unmarshal([]byte(text), &e), a.body)
+	return e.Error.Code, e.Error.Execution
+}
+
+func (b *bed) request(ctx context.Context, method, path, key, body string, headers ...string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, b.base+path, bytes.NewReader([]byte(body)))
+	assert.NilError(b.t, err)
+	r.Close = true
+	r.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	return http.DefaultClient.Do(r)
+}
+
+func (b *bed) call(method, path, key, body string, headers ...string) answer {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	resp, err := b.request(ctx, method, path, key, body, headers...)
+	assert.NilError(b.t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(b.t, err)
+	return answer{resp.StatusCode, resp.Header, string(text)}
+}
+
+const streamBody = `{"model":"m","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"hello"}]}`
+
+func (b *bed) generate() answer {
+	b.t.Helper()
+	return b.call(http.MethodPost, "/v1/chat/completions", callerKey, streamBody)
+}
+
+// tokensOf checks that the answer holds the tokens from..to of one generation,
+// each once and in order, and returns the generation's id.
+func tokensOf(t testing.TB, body string, from, to int) string {
+	t.Helper()
+	id, next := "", from
+	for _, event := range strings.Split(body, "\n\n") {
+		var offset int
+		if n, _ := fmt.Sscanf(event, "id: %d\n", &offset); n != 1 {
+			continue
+		}
+		var chunk struct {
+			ID      string
+			Choices []struct {
+				FinishReason *string `json:"finish_reason"`
+			}
+		}
+		assert.NilError(t, json.Unmarshal([]byte(event[strings.Index(event, "data: ")+6:]), &chunk))
+		assert.Equal(t, offset, next, body)
+		assert.Assert(t, id == "" || id == chunk.ID, body)
+		id = chunk.ID
+		if chunk.Choices[0].FinishReason == nil {
+			next++
+		}
+	}
+	assert.Equal(t, next, to, body)
+	return id
+}
+
+// eventually waits for a condition that another goroutine brings about.
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/entry/query/query.go
+++ b/internal/entry/query/query.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/endivetrack/endivetrack/internal/process"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 	"github.com/endivetrack/endivetrack/internal/session"
+	"github.com/endivetrack/endivetrack/internal/timeline"
 )
 
 // Deps are the parts that the service reads.
@@ -96,31 +96,47 @@
 	return out
 }
 
-// RequirePeer lets only the system's own processes and tools read what is not
+// RequireTool lets only the system's processes and operators read what is not
 // for callers.
-func (s *Service) RequirePeer(next echo.HandlerFunc) echo.HandlerFunc {
+func (s *Service) RequireTool(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if !peerauth.Matches(c.Request().Header.Get(peerauth.PeerHeader), s.PeerKeyDigest) {
-			return resultcode.Newf(resultcode.Unauthenticated, "the peer key is missing or wrong")
+		h := c.Request().Header
+		if peerauth.Matches(h.Get(peerauth.PeerHeader), s.PeerKeyDigest) || isOperator(s.Source.View(), peerauth.Bearer(h)) {
+			return next(c)
 		}
-		return next(c)
+		return resultcode.Newf(resultcode.Unauthenticated, "the peer key or an operator key is required")
 	}
 }
 
+// isOperator reports whether the key is an operator key of any team.
+func isOperator(view *session.View, key string) bool {
+	digest := peerauth.Digest(key)
+	for _, team := range view.Teams {
+		if slices.Contains(team.Settings.OperatorKeySHA256, digest) {
+			return true
+		}
+	}
+	return false
+}
+
 type metricsAnswer struct {
 	Counters map[string]int64   `json:"counters"`
 	Gauges   map[string]float64 `json:"gauges"`
 }
 
-// Metrics serves GET /v1/metrics.
+// Metrics serves GET /metrics.
 func (s *Service) Metrics(c echo.Context) error {
 	reply.JSON(c.Response(), metricsAnswer{s.Env.Counters(), s.Env.Gauges()})
 	return nil
 }
 
+type eventsAnswer struct {
+	Events []timeline.Event `json:"events"`
+}
+
 // Events serves GET /v1/events: the newest events in memory, oldest first.
 func (s *Service) Events(c echo.Context) error {
-	reply.JSON(c.Response(), s.Env.Timeline.Recent())
+	reply.JSON(c.Response(), eventsAnswer{s.Env.Timeline.Recent()})
 	return nil
 }
 
@@ -163,11 +179,13 @@
 	return out
 }
 
-// Health serves GET /v1/health: 200 while new work may be dispatched.
-func (s *Service) Health(c echo.Context) error {
-	if !s.Source.Fresh() {
-		return resultcode.Newf(resultcode.NoFreshLease, "no fresh state from the control group").WithRetryAfter(time.Second)
-	}
-	return c.NoContent(http.StatusOK)
+type healthAnswer struct {
+	OK    bool `json:"ok"`
+	Fresh bool `json:"fresh"` // new work may be dispatched
 }
 
+// Health serves GET /healthz.
+func (s *Service) Health(c echo.Context) error {
+	reply.JSON(c.Response(), healthAnswer{OK: true, Fresh: s.Source.Fresh()})
+	return nil
+}
--- a/internal/entry/target/plain.go
+++ b/internal/entry/target/plain.go
@@ -9,11 +9,18 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
-// maxCrossed bounds the answers to other requests that are read before the
-// call is given up.
-const maxCrossed = 8
+// Bounds of reading on after an answer to another request: the right one may
+// follow on the connection.
+const (
+	maxCrossed  = 8
+	crossedWait = 500 * time.Millisecond
+)
+
+// ErrCrossed means that the target answered with another request's answer.
+var ErrCrossed = errors.New("the target sent the answer to another request")
 
 // ErrTooLarge means that the target's answer exceeds the bound.
 var ErrTooLarge = errors.New("the target's answer is too large")
@@ -27,6 +34,9 @@
 	RequestID      string
 	Body           []byte
 	MaxAnswer      int64
+	// ReadOn waits a while for the right answer after one to another request.
+	// Calls that can be repeated do better to be repeated.
+	ReadOn bool
 }
 
 // Answer is the complete answer to a call.
@@ -99,6 +109,9 @@
 	for crossed := range maxCrossed {
 		limited.left = maxHeaderBytes
 		answer, err := http.ReadResponse(buffered, r)
+		if err != nil && crossed > 0 {
+			return nil, fmt.Errorf("%w: %w", ErrCrossed, err)
+		}
 		if err != nil {
 			return nil, fmt.Errorf("read the target's answer: %w", err)
 		}
@@ -112,10 +125,17 @@
 			return nil, ErrTooLarge
 		case int64(len(body)) > q.MaxAnswer:
 			return nil, fmt.Errorf("answer to another request: %w", ErrTooLarge)
-		case answer.StatusCode < http.StatusOK || !mine:
+		case answer.StatusCode < http.StatusOK:
+			continue
+		case !mine && !q.ReadOn:
+			return nil, ErrCrossed
+		case !mine:
+			if err := c.SetReadDeadline(time.Now().Add(crossedWait)); err != nil {
+				return nil, ErrCrossed
+			}
 			continue
 		}
 		return &Answer{Status: answer.StatusCode, ContentType: answer.Header.Get("Content-Type"), Body: body, Crossed: crossed}, nil
 	}
-	return nil, fmt.Errorf("the target sent %d answers to other requests", maxCrossed)
+	return nil, ErrCrossed
 }
--- /dev/null
+++ b/internal/entry/writes_fake_test.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"sync"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// fakeWrites is the control group's record of protected writes.
+type fakeWrites struct {
+	api.ControlCommand
+	mu        sync.Mutex
+	intents   map[string]*api.BeginWriteRequest
+	answers   map[string]*api.StoredAnswer
+	beginErrs []error // returned by the next calls; committed all the same when commit is set
+	commit    bool
+	endErr    error
+	aborts    int
+}
+
+func newFakeWrites() *fakeWrites {
+	return &fakeWrites{intents: map[string]*api.BeginWriteRequest{}, answers: map[string]*api.StoredAnswer{}}
+}
+
+func (f *fakeWrites) BeginWrite(_ context.Context, r *api.BeginWriteRequest) (*api.BeginWriteResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := r.GetAccount() + "/" + r.GetIdempotencyKey()
+	if len(f.beginErrs) > 0 {
+		err := f.beginErrs[0]
+		f.beginErrs = f.beginErrs[1:]
+		if f.commit {
+			f.intents[key] = r
+		}
+		return nil, err
+	}
+	known := f.intents[key]
+	switch {
+	case known == nil, known.GetAttempt() == r.GetAttempt():
+		f.intents[key] = r
+		return &api.BeginWriteResponse{Outcome: api.WriteOutcome_WRITE_OUTCOME_NEW}, nil
+	case !bytes.Equal(known.GetBodyHash(), r.GetBodyHash()):
+		return &api.BeginWriteResponse{Outcome: api.WriteOutcome_WRITE_OUTCOME_MISMATCH}, nil
+	case f.answers[key] != nil:
+		return &api.BeginWriteResponse{Outcome: api.WriteOutcome_WRITE_OUTCOME_DONE, Answer: f.answers[key]}, nil
+	}
+	return &api.BeginWriteResponse{Outcome: api.WriteOutcome_WRITE_OUTCOME_PENDING}, nil
+}
+
+func (f *fakeWrites) EndWrite(_ context.Context, r *api.EndWriteRequest) (*api.EndWriteResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.endErr != nil {
+		return nil, f.endErr
+	}
+	key := r.GetAccount() + "/" + r.GetIdempotencyKey()
+	if f.intents[key].GetAttempt() != r.GetAttempt() {
+		return nil, resultcode.ToTwirp(resultcode.Newf(resultcode.StaleEpoch, "no such attempt"))
+	}
+	if r.GetAborted() {
+		f.aborts++
+		delete(f.intents, key)
+	} else {
+		f.answers[key] = r.GetAnswer()
+	}
+	return &api.EndWriteResponse{}, nil
+}
