--- /dev/null
+++ b/cmd/endivetrack-control/run.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
+
+	"github.com/endivetrack/endivetrack/internal/control"
+	"github.com/endivetrack/endivetrack/internal/control/memlog"
+	"github.com/endivetrack/endivetrack/internal/peerauth"
+	"github.com/endivetrack/endivetrack/internal/process"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/state"
+)
+
+// stopTimeout bounds how long a planned stop waits for calls in progress. Long
+// polls end by themselves within 0.5 s.
+const stopTimeout = 3 * time.Second
+
+type runCommand struct {
+	config    string
+	memoryLog bool
+}
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "run a control instance" }
+func (*runCommand) Usage() string    { return "run -config FILE\n" }
+
+// SetFlags defines the command's flags.
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", "control.toml", "configuration file")
+	f.BoolVar(&c.memoryLog, "memory-log", false, "tests only: keep the log in memory, alone")
+}
+
+// Execute runs until SIGTERM.
+func (c *runCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	cfg, err := loadConfig(c.config)
+	if err != nil {
+		return fail(err)
+	}
+	ctx, cancel := process.SignalContext()
+	defer cancel()
+	if err := c.run(ctx, cfg); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *runCommand) run(ctx context.Context, cfg *config) error {
+	env, err := process.NewEnv(cfg.Config, os.Stderr)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer env.Close()
+	if !c.memoryLog {
+		return trace.Wrap(resultcode.Newf(resultcode.Internal, "this build has only the log in memory; start with -memory-log"))
+	}
+	machine := state.New()
+	node := memlog.NewGroup().Add(cfg.Name, cfg.Advertise, machine)
+	server := control.New(control.Config{
+		Name:                  cfg.Name,
+		Address:               cfg.Advertise,
+		Log:                   node,
+		Machine:               machine,
+		BootstrapOperatorKeys: cfg.BootstrapOperatorKeySHA256,
+		Peers:                 env.Peers,
+		Logger:                env.Log,
+		Metrics:               env.Metrics,
+		Timeline:              env.Timeline,
+	})
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	env.Timeline.Record("started")
+	handler := server.Handler(env, peerauth.Digest(cfg.PeerKey), nil)
+	return serve(ctx, listener, process.NewServer(handler), server)
+}
+
+// serve runs until ctx ends, then lets the calls in progress finish.
+func serve(ctx context.Context, l net.Listener, hs *http.Server, server *control.Server) error {
+	loops, stopLoops := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { server.Run(loops) })
+	defer wg.Wait()
+	defer stopLoops()
+	failed := make(chan error, 1)
+	go func() { failed <- hs.Serve(l) }()
+	select {
+	case err := <-failed:
+		return trace.Wrap(err)
+	case <-ctx.Done():
+	}
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := hs.Shutdown(stopCtx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/forward.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// forwardedHeader marks a call that another control instance has forwarded. It
+// is not forwarded again, so that two instances that each take the other for
+// the leader do not send a call in circles.
+const forwardedHeader = "X-Endivetrack-Forwarded"
+
+type forwardedKey struct{}
+
+// markForwarded puts the header into the context of the call.
+func markForwarded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(forwardedHeader) != "" {
+			r = r.WithContext(context.WithValue(r.Context(), forwardedKey{}, true))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// atLeader carries the call out here when this instance leads, else forwards it
+// to the leader once.
+func atLeader[Req, Resp any](ctx context.Context, s *Server, req Req,
+	local func(context.Context, *term, Req) (Resp, error),
+	remote func(address string) func(context.Context, Req) (Resp, error),
+) (Resp, error) {
+	var none Resp
+	if t := s.currentTerm(); t != nil {
+		resp, err := local(ctx, t, req)
+		return resp, resultcode.ToTwirp(err)
+	}
+	leader := s.log.Status().LeaderAddress
+	if leader == "" || leader == s.cfg.Address || s.cfg.Peers == nil || ctx.Value(forwardedKey{}) != nil {
+		return none, resultcode.ToTwirp(notLeaderError(leader))
+	}
+	ctx, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{forwardedHeader: {"1"}})
+	if err != nil {
+		return none, resultcode.ToTwirp(err)
+	}
+	s.metrics.forwarded.Inc(1)
+	resp, err := remote(leader)(ctx, req)
+	return resp, resultcode.ToTwirp(resultcode.FromTwirp(err))
+}
+
+func (s *Server) commandAt(address string) api.ControlCommand {
+	return api.NewControlCommandProtobufClient("http://"+address, s.cfg.Peers)
+}
+
+func (s *Server) queryAt(address string) api.ControlQuery {
+	return api.NewControlQueryProtobufClient("http://"+address, s.cfg.Peers)
+}
+
+func uintString(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/internal/control/group_test.go
@@ -0,0 +1,118 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/control"
+	"github.com/endivetrack/endivetrack/internal/control/memlog"
+	"github.com/endivetrack/endivetrack/internal/peerauth"
+	"github.com/endivetrack/endivetrack/internal/session"
+	"github.com/endivetrack/endivetrack/internal/state"
+)
+
+const (
+	team        = "balle-sahel"
+	operatorKey = "operator-key-of-balle-sahel"
+)
+
+// settingsText returns a valid subtree; extra lines go to its top.
+func settingsText(extra string) []byte {
+	digest := peerauth.Digest(operatorKey)
+	return []byte(fmt.Sprintf(`team = %q
+operator_key_sha256 = [%q]
+%s
+[failure_domains.dakar-a]
+region = "dakar"
+[failure_domains.dakar-b]
+region = "dakar"
+[services.assistant-llm]
+kind = "engine"
+models = ["appraiser"]
+shards = 4
+target_key_sha256 = [%q]
+[policy]
+max_concurrent_loads = 2
+`, team, digest, extra, digest))
+}
+
+// group is a set of control instances over one in-memory log. Calls are made
+// without a network.
+type group struct {
+	log     *memlog.Group
+	nodes   []*memlog.Node
+	servers []*control.Server
+}
+
+func startGroup(ctx context.Context, size int) *group {
+	g := &group{log: memlog.NewGroup()}
+	for i := range size {
+		machine := state.New()
+		name := fmt.Sprintf("control-%d", i)
+		node := g.log.Add(name, address(i), machine)
+		s := control.New(control.Config{
+			Name: name, Address: address(i), Log: node, Machine: machine,
+			BootstrapOperatorKeys: map[string][]string{team: {peerauth.Digest(operatorKey)}},
+		})
+		g.nodes = append(g.nodes, node)
+		g.servers = append(g.servers, s)
+		go s.Run(ctx)
+	}
+	return g
+}
+
+func address(i int) string { return fmt.Sprintf("127.0.0.1:%d", 7000+i) }
+
+func (g *group) connect(addr string) api.ControlCommand {
+	var i int
+	if _, err := fmt.Sscanf(strings.TrimPrefix(addr, "127.0.0.1:"), "%d", &i); err != nil {
+		panic(err)
+	}
+	return g.servers[i-7000]
+}
+
+func (g *group) addresses() []string {
+	var out []string
+	for i := range g.servers {
+		out = append(out, address(i))
+	}
+	return out
+}
+
+func instance(name, failureDomain string) *api.Instance {
+	return &api.Instance{Name: name, Incarnation: name + "-1", Region: "dakar", FailureDomain: failureDomain, Address: "127.0.0.1:7201"}
+}
+
+func TestSessionSeesSettingsAndOwnsShards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		g := startGroup(ctx, 1)
+		s := session.New(session.Config{
+			Instance: instance("entry-1", "dakar-a"), ControlAddresses: g.addresses(), Connect: g.connect, Now: time.Now,
+		})
+		go s.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, s.Fresh())
+		_, err := g.servers[0].ApplySettings(ctx, &api.ApplySettingsRequest{
+			Team: team, ChangeId: "c1", Toml: settingsText(""), OperatorKey: operatorKey,
+		})
+		assert.NilError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		v := s.View()
+		assert.Equal(t, v.Teams[team].Revision, uint64(1))
+		assert.Equal(t, len(v.Assignments), 4)
+		for _, a := range v.Assignments {
+			assert.Equal(t, a.GetOwnerSession(), s.SessionID())
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"context"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/agreement"
+	"github.com/endivetrack/endivetrack/internal/process"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/state/model"
+	"github.com/endivetrack/endivetrack/internal/state/query"
+)
+
+// ChangeMember changes the members of the agreement group.
+func (s *Server) ChangeMember(ctx context.Context, req *api.ChangeMemberRequest) (*api.ChangeMemberResponse, error) {
+	return atLeader(ctx, s, req, s.changeMember, func(a string) func(context.Context, *api.ChangeMemberRequest) (*api.ChangeMemberResponse, error) {
+		return s.commandAt(a).ChangeMember
+	})
+}
+
+func (s *Server) changeMember(ctx context.Context, _ *term, req *api.ChangeMemberRequest) (*api.ChangeMemberResponse, error) {
+	var err error
+	switch req.GetAction() {
+	case api.MemberAction_MEMBER_ACTION_ADD_LEARNER:
+		if addrErr := process.CheckAddress(req.GetAddress()); addrErr != nil {
+			return nil, resultcode.Newf(resultcode.MembershipChange, "address %q: %v", req.GetAddress(), addrErr)
+		}
+		err = s.log.AddLearner(ctx, agreement.Member{Name: req.GetName(), Incarnation: req.GetIncarnation(), Address: req.GetAddress()})
+	case api.MemberAction_MEMBER_ACTION_PROMOTE:
+		err = s.log.Promote(ctx, req.GetIncarnation(), req.GetReplacesIncarnation())
+	case api.MemberAction_MEMBER_ACTION_REMOVE:
+		err = s.log.Remove(ctx, req.GetIncarnation())
+	default:
+		return nil, resultcode.Newf(resultcode.MessageMalformed, "member action %d is unknown", req.GetAction())
+	}
+	if err != nil {
+		return nil, logError(err)
+	}
+	s.cfg.Timeline.Record("member_changed", "action", req.GetAction().String(), "name", req.GetName(), "incarnation", req.GetIncarnation())
+	return &api.ChangeMemberResponse{}, nil
+}
+
+// Status returns the members, instances and assignments. An instance that
+// neither leads nor knows a leader answers with its own view, so that operators
+// see something while there is no quorum.
+func (s *Server) Status(ctx context.Context, req *api.StatusRequest) (*api.StatusResponse, error) {
+	if s.currentTerm() == nil && s.log.Status().LeaderAddress == "" {
+		return s.localStatus(), nil
+	}
+	return atLeader(ctx, s, req, s.status, func(a string) func(context.Context, *api.StatusRequest) (*api.StatusResponse, error) {
+		return s.queryAt(a).Status
+	})
+}
+
+func (s *Server) status(ctx context.Context, _ *term, _ *api.StatusRequest) (*api.StatusResponse, error) {
+	if _, err := s.log.ReadBarrier(ctx); err != nil {
+		return nil, logError(err)
+	}
+	return s.localStatus(), nil
+}
+
+func (s *Server) localStatus() *api.StatusResponse {
+	st := s.log.Status()
+	out := &api.StatusResponse{Leader: st.LeaderName, Term: st.Term, CommitIndex: st.CommitIndex}
+	for _, m := range st.Members {
+		out.Members = append(out.Members, &api.ControlMember{
+			Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, Voter: m.Voter,
+			MatchIndex: st.MatchIndex[m.Incarnation], Leader: m.Name == st.LeaderName,
+		})
+	}
+	s.machine.Read(func(state *model.State) {
+		out.Instances, out.Assignments = query.Instances(state), query.Assignments(state)
+	})
+	return out
+}
--- /dev/null
+++ b/internal/control/memlog/memlog.go
@@ -0,0 +1,183 @@
+// Package memlog is a replicated log in the memory of one process, for tests
+// and for trying a control instance without a data folder. The group's nodes
+// share one log; tests choose the leader and cut nodes off.
+package memlog
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/endivetrack/endivetrack/internal/agreement"
+)
+
+// errCutOff is the result of a read barrier without a quorum.
+var errCutOff = errors.New("memlog: cut off from the group")
+
+// Group is a set of nodes over one log.
+type Group struct {
+	mu     sync.Mutex
+	log    [][]byte
+	term   uint64
+	leader *Node // the newest leader
+	nodes  []*Node
+}
+
+// Node is one member of a group.
+type Node struct {
+	group   *Group
+	member  agreement.Member
+	machine agreement.StateMachine
+
+	term    uint64 // newest term the node knows
+	leads   bool   // whether the node believes that it leads
+	applied uint64
+	cutAt   time.Time // zero while connected
+	commit  uint64
+}
+
+// NewGroup returns an empty group.
+func NewGroup() *Group { return &Group{} }
+
+// Add adds a node. The first one leads.
+func (g *Group) Add(name, address string, machine agreement.StateMachine) *Node {
+	g.mu.Lock()
+	n := &Node{group: g, machine: machine, member: agreement.Member{
+		Name: name, Incarnation: name + "-1", Address: address, Voter: true,
+	}}
+	g.nodes = append(g.nodes, n)
+	first := len(g.nodes) == 1
+	g.mu.Unlock()
+	if first {
+		g.Elect(n)
+	}
+	return n
+}
+
+// Elect makes a connected node the leader of a new term.
+func (g *Group) Elect(n *Node) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.term++
+	g.leader = n
+	g.spread()
+}
+
+// Cut separates a node from the group. A leader that is cut off goes on
+// believing that it leads.
+func (g *Group) Cut(n *Node) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n.cutAt.IsZero() {
+		n.cutAt = time.Now()
+	}
+}
+
+// Heal connects a node again.
+func (g *Group) Heal(n *Node) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n.cutAt = time.Time{}
+	g.spread()
+}
+
+// spread tells all connected nodes of the term and the log.
+func (g *Group) spread() {
+	for _, n := range g.nodes {
+		if !n.cutAt.IsZero() {
+			continue
+		}
+		n.term, n.leads, n.commit = g.term, n == g.leader, uint64(len(g.log))
+		for n.applied < n.commit {
+			n.applied++
+			n.machine.Apply(n.applied, g.log[n.applied-1])
+		}
+	}
+}
+
+// Propose appends the command and applies it on all connected nodes. On a
+// leader that is cut off the outcome stays unknown.
+func (n *Node) Propose(ctx context.Context, command []byte) (agreement.Applied, error) {
+	g := n.group
+	g.mu.Lock()
+	if !n.leads {
+		defer g.mu.Unlock()
+		return agreement.Applied{}, n.notLeader()
+	}
+	if !n.cutAt.IsZero() {
+		g.mu.Unlock()
+		<-ctx.Done()
+		return agreement.Applied{}, agreement.ErrOutcomeUnknown
+	}
+	defer g.mu.Unlock()
+	g.log = append(g.log, command)
+	index := uint64(len(g.log))
+	n.commit, n.applied = index, index
+	result := n.machine.Apply(index, command)
+	g.spread()
+	return agreement.Applied{Index: index, Result: result}, nil
+}
+
+func (n *Node) notLeader() error {
+	e := &agreement.NotLeaderError{}
+	if l := n.group.leader; l != nil && n.cutAt.IsZero() {
+		e.Leader, e.Address = l.member.Name, l.member.Address
+	}
+	return e
+}
+
+// QuorumContact is now while the leader is connected.
+func (n *Node) QuorumContact() time.Time {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	switch {
+	case !n.leads:
+		return time.Time{}
+	case !n.cutAt.IsZero():
+		return n.cutAt
+	}
+	return time.Now()
+}
+
+// ReadBarrier returns the end of the log at a connected leader.
+func (n *Node) ReadBarrier(context.Context) (uint64, error) {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	switch {
+	case !n.leads:
+		return 0, n.notLeader()
+	case !n.cutAt.IsZero():
+		return 0, errCutOff
+	}
+	return n.commit, nil
+}
+
+// Status returns the node's view.
+func (n *Node) Status() agreement.Status {
+	g := n.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := agreement.Status{Role: agreement.Follower, Term: n.term, CommitIndex: n.commit, AppliedIndex: n.applied}
+	if n.leads {
+		s.Role = agreement.Leader
+		s.LeaderName, s.LeaderAddress = n.member.Name, n.member.Address
+	} else if g.leader != nil && n.cutAt.IsZero() {
+		s.LeaderName, s.LeaderAddress = g.leader.member.Name, g.leader.member.Address
+	}
+	for _, m := range g.nodes {
+		s.Members = append(s.Members, m.member)
+	}
+	return s
+}
+
+// AddLearner is refused: the group is fixed.
+func (n *Node) AddLearner(context.Context, agreement.Member) error {
+	return agreement.ErrMembershipChange
+}
+
+// Promote is refused: the group is fixed.
+func (n *Node) Promote(context.Context, string, string) error { return agreement.ErrMembershipChange }
+
+// Remove is refused: the group is fixed.
+func (n *Node) Remove(context.Context, string) error { return agreement.ErrMembershipChange }
--- a/internal/session/view.go
+++ b/internal/session/view.go
@@ -44,6 +44,8 @@
 type Team struct {
 	Revision uint64
 	Settings *settings.Team
+
+	text []byte // as accepted, to check that one revision has one content
 }
 
 // View is the committed state at one version. It is never changed after it
--- /dev/null
+++ b/internal/state/command/assignments.go
@@ -0,0 +1,68 @@
+package command
+
+import (
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/session"
+	"github.com/endivetrack/endivetrack/internal/state/model"
+)
+
+// maxAssignmentChanges bounds one command.
+const maxAssignmentChanges = 4096
+
+// changeAssignments carries out each change whose expected epoch still holds
+// and drops the others: the leader proposes again from the newest state.
+//
+// Invariant: a shard gets an owner only while it has none and no former owner
+// that may still believe it holds the shard.
+func changeAssignments(s *model.State, index uint64, c *api.ChangeAssignments) Result {
+	if len(c.GetChanges()) > maxAssignmentChanges {
+		return refuse(resultcode.MessageMalformed, "%d assignment changes, at most %d", len(c.GetChanges()), maxAssignmentChanges)
+	}
+	var applied uint32
+	for _, ch := range c.GetChanges() {
+		if changeAssignment(s, index, ch) {
+			applied++
+		}
+	}
+	if applied > 0 {
+		s.AssignmentsVersion = index
+	}
+	return ok(&api.ChangeAssignmentsResult{Applied: applied})
+}
+
+func changeAssignment(s *model.State, index uint64, ch *api.AssignmentChange) bool {
+	k := session.KeyOf(ch.GetShard())
+	if !validName(k.Team) || !validName(k.Service) || !validName(k.Region) {
+		return false
+	}
+	a := s.Assignments[k]
+	if a == nil {
+		a = &model.Assignment{}
+	}
+	if a.Epoch != ch.GetExpectedEpoch() {
+		return false
+	}
+	switch act := ch.GetAction().(type) {
+	case *api.AssignmentChange_Revoke_:
+		if a.Owner == 0 {
+			return false
+		}
+		a.Owner, a.OwnerAddress, a.Former, a.RevokedVersion = 0, "", a.Owner, index
+		return true
+	case *api.AssignmentChange_Assign_:
+		owner := s.Sessions[act.Assign.GetOwnerSession()]
+		if owner == nil || owner.Replaced || a.Owner != 0 || a.Former != act.Assign.GetReleasedSession() {
+			return false
+		}
+		s.Assignments[k] = &model.Assignment{Owner: owner.ID, OwnerAddress: owner.Instance.GetAddress(), Epoch: index}
+		return true
+	case *api.AssignmentChange_Remove_:
+		if s.Assignments[k] == nil || a.Owner != 0 || a.Former != act.Remove.GetReleasedSession() {
+			return false
+		}
+		delete(s.Assignments, k)
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/state/command/sessions.go
@@ -0,0 +1,90 @@
+package command
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/state/model"
+)
+
+// MaxSessions bounds sessions, including replaced ones that wait for the end
+// of their lease. The target size is 370 instances.
+const MaxSessions = 4096
+
+// openSession adds a session whose id is the log index. Older sessions of the
+// name are replaced: their shards are revoked, and stay without an owner until
+// the older lease has surely ended, since the older process may still run.
+func openSession(s *model.State, index uint64, r *api.OpenSessionRequest) Result {
+	if err := CheckInstance(r.GetInstance()); err != nil {
+		return Result{Err: err}
+	}
+	if len(s.Sessions) >= MaxSessions {
+		return refuse(resultcode.Overloaded, "at most %d sessions", MaxSessions)
+	}
+	for id, old := range s.Sessions {
+		if old.Instance.GetName() == r.GetInstance().GetName() && !old.Replaced {
+			old.Replaced = true
+			revokeAll(s, index, id)
+		}
+	}
+	in := proto.CloneOf(r.GetInstance())
+	in.SessionId = index
+	s.Sessions[index] = &model.Session{ID: index, Instance: in}
+	s.InstancesVersion = index
+	return ok(&api.OpenSessionResponse{SessionId: index})
+}
+
+// CheckInstance checks that all fields are present and bounded.
+func CheckInstance(in *api.Instance) *resultcode.Error {
+	for _, f := range []string{in.GetName(), in.GetIncarnation(), in.GetRegion(), in.GetFailureDomain(), in.GetAddress()} {
+		if !validName(f) {
+			return resultcode.Newf(resultcode.MessageMalformed, "instance fields must have 1 to %d bytes", MaxNameBytes)
+		}
+	}
+	return nil
+}
+
+func revokeAll(s *model.State, index, sessionID uint64) {
+	for _, a := range s.Assignments {
+		if a.Owner == sessionID {
+			a.Owner, a.OwnerAddress, a.Former, a.RevokedVersion = 0, "", sessionID, index
+			s.AssignmentsVersion = index
+		}
+	}
+}
+
+// endSession removes the session and frees its shards for a new owner.
+func endSession(s *model.State, index uint64, r *api.EndSession) Result {
+	x := s.Sessions[r.GetSessionId()]
+	if x == nil {
+		return refuse(resultcode.SessionUnknown, "session %d", r.GetSessionId())
+	}
+	delete(s.Sessions, x.ID)
+	s.InstancesVersion = index
+	for _, a := range s.Assignments {
+		if a.Owner == x.ID {
+			a.Owner, a.OwnerAddress, a.RevokedVersion = 0, "", index
+			s.AssignmentsVersion = index
+		}
+		if a.Former == x.ID {
+			a.Former = 0
+		}
+	}
+	return ok(&api.EndSessionResult{})
+}
+
+// drainSession marks the instance as leaving.
+func drainSession(s *model.State, index uint64, r *api.DrainSession) Result {
+	x := s.Sessions[r.GetSessionId()]
+	if x == nil || x.Replaced {
+		return refuse(resultcode.SessionUnknown, "session %d", r.GetSessionId())
+	}
+	if !x.Instance.GetDraining() {
+		in := proto.CloneOf(x.Instance)
+		in.Draining = true
+		x.Instance = in
+		s.InstancesVersion = index
+	}
+	return ok(&api.DrainSessionResult{})
+}
