--- /dev/null
+++ b/bench/decisions/main.go
@@ -0,0 +1,183 @@
+// Command decisions measures the admission and routing decisions against the
+// baselines of bench/baseline, with a simple engine model and simulated time.
+// The same seeded arrivals and output lengths go to each policy. It prints
+// means over the seeds and ratios to the best baseline.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"sync"
+
+	"github.com/endivetrack/endivetrack/bench/baseline"
+	"github.com/endivetrack/endivetrack/bench/workload"
+)
+
+// contender is a policy under measurement.
+type contender struct {
+	name string
+	make func(p workload.Profile, m EngineModel, seed uint64) policy
+}
+
+var contenders = []contender{
+	{"endivetrack", func(p workload.Profile, _ EngineModel, _ uint64) policy { return newOurs(p) }},
+	{"round robin", func(p workload.Profile, _ EngineModel, seed uint64) policy {
+		return newSimple(&baseline.RoundRobin{}, p.Targets, seed)
+	}},
+	{"least outstanding", func(p workload.Profile, _ EngineModel, seed uint64) policy {
+		return newSimple(baseline.LeastOutstanding{}, p.Targets, seed)
+	}},
+	{"two choices", func(p workload.Profile, _ EngineModel, seed uint64) policy {
+		return newSimple(baseline.TwoChoices{}, p.Targets, seed)
+	}},
+	{"fixed concurrency", func(p workload.Profile, m EngineModel, seed uint64) policy {
+		return newSimple(baseline.FixedConcurrency{Limit: capacityOf(p, m).concurrency}, p.Targets, seed)
+	}},
+}
+
+// capacity is what one engine of the model can do with requests of a profile.
+type capacity struct {
+	concurrency int     // mean requests that fill its memory or reach the target gap
+	rate        float64 // requests per second at this concurrency
+}
+
+// capacityOf computes the capacity from mean values: the mean request, seen
+// at a random moment of its run, and the mean step.
+func capacityOf(p workload.Profile, m EngineModel) capacity {
+	var prompt, output, resident float64
+	sample := workload.Sample(p, 1, 20000)
+	for _, a := range sample {
+		prompt += float64(a.PromptTokens)
+		output += float64(a.OutputTokens)
+		resident += float64(a.OutputTokens) * (float64(a.PromptTokens) + float64(a.OutputTokens)/2)
+	}
+	resident /= output
+	prompt /= float64(len(sample))
+	output /= float64(len(sample))
+	var c capacity
+	for n := 1; n <= m.MaxRunning && float64(n)*resident <= float64(m.Memory); n++ {
+		// Per step n/output requests finish, and as many join with their prompts.
+		step := m.step(n, int(float64(n)*resident)).Seconds() + float64(n)/output*prompt*m.PerPrefill.Seconds()
+		if step > targetGap.Seconds() {
+			break
+		}
+		c = capacity{n, float64(n) / step / output}
+	}
+	return c
+}
+
+type runKey struct {
+	profile, load, policy int
+}
+
+func main() {
+	seeds := flag.Int("seeds", 5, "number of seeds, from 1")
+	workers := flag.Int("workers", max(1, runtime.NumCPU()/3), "simulations run at the same time")
+	flag.Parse()
+	profiles := workload.Profiles()
+	loads := []int{50, 70, 85, 100, 130} // percent of capacity
+	results := measure(profiles, loads, *seeds, *workers)
+	for i, p := range profiles {
+		c := capacityOf(p, defaultModel)
+		fmt.Printf("\n%s: %d targets, capacity %.1f requests/s at %d per target, %d seeds\n", p.Name, p.Targets, c.rate*float64(p.Targets), c.concurrency, *seeds)
+		for l, load := range loads {
+			printLoad(load, func(policy int) Result { return results[runKey{i, l, policy}] })
+		}
+		printGoals(loads, func(load, policy int) Result { return results[runKey{i, load, policy}] })
+	}
+}
+
+// measure returns the mean result over the seeds of every combination.
+func measure(profiles []workload.Profile, loads []int, seeds, workers int) map[runKey]Result {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	slots := make(chan struct{}, workers)
+	all := map[runKey][]Result{}
+	for i, p := range profiles {
+		rate := capacityOf(p, defaultModel).rate * float64(p.Targets)
+		for l, load := range loads {
+			for c := range contenders {
+				key := runKey{i, l, c}
+				all[key] = make([]Result, seeds)
+				for seed := range seeds {
+					slots <- struct{}{}
+					group.Go(func() {
+						r := simulate(p, defaultModel, uint64(seed+1), rate*float64(load)/100, contenders[c].make(p, defaultModel, uint64(seed+1)))
+						mu.Lock()
+						all[key][seed] = r
+						mu.Unlock()
+						<-slots
+					})
+				}
+			}
+		}
+	}
+	group.Wait()
+	out := make(map[runKey]Result, len(all))
+	for k, rs := range all {
+		out[k] = mean(rs)
+	}
+	return out
+}
+
+func mean(rs []Result) Result {
+	var m Result
+	n := float64(len(rs))
+	for _, r := range rs {
+		m.TBT99 += r.TBT99 / n
+		m.Preemptions += r.Preemptions / n
+		m.Stall += r.Stall / n
+		m.Goodput += r.Goodput / n
+		m.Throughput += r.Throughput / n
+		m.Idle += r.Idle / n
+		m.Unused += r.Unused / n
+		m.Dropped += r.Dropped / n
+		m.FirstP95 += r.FirstP95 / n
+		m.ShortP95 += r.ShortP95 / n
+	}
+	return m
+}
+
+func printLoad(load int, result func(policy int) Result) {
+	fmt.Printf("\n| load %d%% | p99 TBT ms | preemptions /1k tok | stall ms /1k tok | goodput tok/s | throughput tok/s | idle %% | unused %% | dropped %% | first token p95 s | short p95 s |\n|---|---|---|---|---|---|---|---|---|---|---|\n", load)
+	for i, c := range contenders {
+		r := result(i)
+		fmt.Printf("| %s | %.1f | %.3f | %.1f | %.0f | %.0f | %.2f | %.1f | %.1f | %.2f | %.2f |\n",
+			c.name, r.TBT99, r.Preemptions, r.Stall, r.Goodput, r.Throughput, r.Idle*100, r.Unused*100, r.Dropped*100, r.FirstP95, r.ShortP95)
+	}
+}
+
+// printGoals compares the first contender with the best baseline per measure.
+func printGoals(loads []int, result func(load, policy int) Result) {
+	at := func(percent int) int {
+		for i, l := range loads {
+			if l == percent {
+				return i
+			}
+		}
+		panic("load is not measured")
+	}
+	best := func(measure func(Result) float64) float64 {
+		v := measure(result(at(85), 1))
+		for p := 2; p < len(contenders); p++ {
+			v = min(v, measure(result(at(85), p)))
+		}
+		return v
+	}
+	peak := 0.0
+	for l := range loads {
+		for p := range contenders {
+			peak = max(peak, result(l, p).Goodput)
+		}
+	}
+	ours := result(at(85), 0)
+	over := result(at(130), 0)
+	ratio := func(a, b float64) float64 { return a / max(b, 1e-9) }
+	fmt.Printf("\n| goal | ratio | bound |\n|---|---|---|\n")
+	fmt.Printf("| p99 TBT at 85%%, of the best baseline | %.2f | 0.60 |\n", ratio(ours.TBT99, best(func(r Result) float64 { return r.TBT99 })))
+	fmt.Printf("| preemptions at 85%%, of the best baseline | %.2f | 0.20 |\n", ratio(ours.Preemptions, best(func(r Result) float64 { return r.Preemptions })))
+	fmt.Printf("| stall time at 85%%, of the best baseline | %.2f | 0.50 |\n", ratio(ours.Stall, best(func(r Result) float64 { return r.Stall })))
+	fmt.Printf("| goodput at 130%%, of the best seen at any load | %.2f | 0.95 |\n", ratio(over.Goodput, peak))
+	fmt.Printf("| idle while work waits, at 85%% and 130%% | %.2f%% / %.2f%% | 2%% |\n", ours.Idle*100, over.Idle*100)
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -134,7 +134,7 @@
 		}
 	}
 	for _, sh := range o.shards {
-		sh.follow(view)
+		sh.follow(view, now)
 	}
 }
 
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -34,7 +34,7 @@
 }
 
 // follow puts the view's settings and sessions in force.
-func (s *shard) follow(view *session.View) {
+func (s *shard) follow(view *session.View, now time.Time) {
 	if view.Version == s.version {
 		return
 	}
@@ -44,7 +44,7 @@
 	for _, i := range view.Instances {
 		live[i.GetSessionId()] = true
 	}
-	s.state.KeepHolders(live)
+	s.state.KeepHolders(live, now)
 }
 
 // answer hands a decision to its waiting call.
--- /dev/null
+++ b/internal/routing/filter_domain.go
@@ -0,0 +1,8 @@
+package routing
+
+// DomainInService removes targets in failure domains that operators have taken
+// out of service.
+type DomainInService struct{}
+
+// Keep implements Filter.
+func (DomainInService) Keep(_ *Request, c *Candidate) bool { return c.InService }
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -5,10 +5,11 @@
 package scheduler
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/admission"
+	"github.com/endivetrack/endivetrack/internal/routing"
 	"github.com/endivetrack/endivetrack/internal/settings"
 )
 
@@ -46,15 +47,25 @@
 	released   map[string]time.Time // permit ids released lately
 	lastPermit uint64
 
-	queue      []*waiting
+	queue      admission.Queue[*waiting]
+	tickets    map[Ticket]*admission.Item[*waiting]
 	lastTicket Ticket
 
+	lengths   *admission.Lengths
+	router    *routing.Router
+	shortSeen time.Time // last arrival of a request of a short class
+
 	totals Totals
+	idle   idleRate
 }
 
 type waiting struct {
 	ticket  Ticket
 	request Request
+	short   bool
+	// reserved is the target kept free for this request, which larger or
+	// later requests have overtaken for too long.
+	reserved string
 }
 
 // Totals counts what the shard did since it was started.
@@ -62,9 +73,9 @@
 	Grants      uint64
 	Reclaimed   uint64
 	Preemptions uint64
-	// IdleSeconds is the unused part of targets' limits, integrated over the
-	// time in which work waited; CapacitySeconds is the whole limit over the
-	// same time. Both are in target-seconds.
+	// IdleSeconds integrates, over the time in which work waits, the unused
+	// share of the targets that could run waiting work; CapacitySeconds
+	// integrates the count of targets that serve waiting work.
 	IdleSeconds     float64
 	CapacitySeconds float64
 }
@@ -77,6 +88,9 @@
 		targets:  map[string]*target{},
 		permits:  map[string]*permit{},
 		released: map[string]time.Time{},
+		tickets:  map[Ticket]*admission.Item[*waiting]{},
+		lengths:  admission.NewLengths(),
+		router:   routing.Default(),
 	}
 	s.Configure(team, service)
 	return s
@@ -91,83 +105,117 @@
 func (s *Shard) Totals() Totals { return s.totals }
 
 // QueueLength returns the number of waiting requests.
-func (s *Shard) QueueLength() int { return len(s.queue) }
+func (s *Shard) QueueLength() int { return s.queue.Len() }
+
+func (s *Shard) plain() bool { return s.service.Kind == settings.KindPlain }
+
+func (s *Shard) targetGap() time.Duration {
+	return time.Duration(s.team.Policy.TargetGapMS * float64(time.Millisecond))
+}
 
 // Enqueue adds a request to the queue, or refuses it at once with an outcome
 // other than UNSPECIFIED.
 func (s *Shard) Enqueue(r Request, now time.Time) (Ticket, api.AcquireOutcome) {
-	if !s.serves(r) {
+	if !s.served(r) {
 		return 0, api.AcquireOutcome_ACQUIRE_OUTCOME_NO_TARGET
 	}
-	if len(s.queue) >= s.team.Policy.QueueLimit {
+	if s.queue.Len() >= s.team.Policy.QueueLimit {
 		return 0, api.AcquireOutcome_ACQUIRE_OUTCOME_OVERLOADED
 	}
+	class := s.team.Classes[r.Class.GetClass()]
+	if class.Short {
+		s.shortSeen = now
+	}
+	timeout := class.QueueTimeout()
+	if timeout == 0 {
+		timeout = r.Until.Sub(r.Arrived)
+	}
 	s.lastTicket++
-	s.queue = append(s.queue, &waiting{s.lastTicket, r})
+	it := &admission.Item[*waiting]{
+		Account:  r.Class.GetAccount(),
+		Weight:   float64(max(1, s.team.Accounts[r.Class.GetAccount()].Weight)),
+		Cost:     s.predictedTokens(r.Class),
+		Priority: class.Priority,
+		Arrived:  r.Arrived,
+		Deadline: r.Arrived.Add(timeout),
+		Value:    &waiting{ticket: s.lastTicket, request: r, short: class.Short},
+	}
+	s.tickets[s.lastTicket] = it
+	s.queue.Push(it, now)
 	return s.lastTicket, api.AcquireOutcome_ACQUIRE_OUTCOME_UNSPECIFIED
 }
 
-// serves reports whether any target could run the request, now or later.
-func (s *Shard) serves(r Request) bool {
+// served reports whether any target that announces itself has the model.
+func (s *Shard) served(r Request) bool {
 	for _, t := range s.targets {
-		if t.serves(r.Class.GetModel(), s.plain()) {
+		c := routing.Candidate{Models: t.announcement.GetModels()}
+		if t.announcement != nil && (routing.ServesModel{}).Keep(s.routingRequest(r, time.Time{}), &c) {
 			return true
 		}
 	}
 	return false
 }
 
-func (s *Shard) plain() bool { return s.service.Kind == settings.KindPlain }
-
 // Cancel removes a waiting request.
 func (s *Shard) Cancel(ticket Ticket) {
-	for i, w := range s.queue {
-		if w.ticket == ticket {
-			s.queue = append(s.queue[:i], s.queue[i+1:]...)
-			return
-		}
+	if it := s.tickets[ticket]; it != nil {
+		delete(s.tickets, ticket)
+		s.queue.Remove(it)
 	}
 }
 
 // Schedule grants as many waiting requests as possible and ends the waits that
 // are over.
 func (s *Shard) Schedule(now time.Time) []Decision {
+	s.integrateIdle(now)
 	var out []Decision
-	rest := s.queue[:0]
-	for _, w := range s.queue {
-		if p := s.place(w.request, now); p != nil {
-			out = append(out, Decision{Ticket: w.ticket, Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_GRANTED,
-				Permit: p, Waited: now.Sub(w.request.Arrived)})
-			continue
+	for _, it := range s.queue.Advance(now) {
+		delete(s.tickets, it.Value.ticket)
+		out = append(out, Decision{Ticket: it.Value.ticket, Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_FULL, DeadlineUp: true})
+	}
+	p := s.newPass(now)
+	for {
+		it, t := p.next()
+		if it == nil {
+			break
 		}
-		if !now.Before(w.request.Until) {
-			out = append(out, Decision{Ticket: w.ticket, Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_FULL})
-			continue
+		delete(s.tickets, it.Value.ticket)
+		s.queue.Serve(it)
+		out = append(out, s.grant(it.Value, t, now))
+	}
+	for it := range s.queue.All() {
+		if !now.Before(it.Value.request.Until) {
+			out = append(out, Decision{Ticket: it.Value.ticket, Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_FULL})
 		}
-		rest = append(rest, w)
 	}
-	s.queue = rest
+	for _, d := range out {
+		s.Cancel(d.Ticket)
+	}
+	s.observeWaiting(now)
 	return out
 }
 
-// place grants a permit at the usable target with the least in flight.
-func (s *Shard) place(r Request, now time.Time) *api.Permit {
-	var best *target
-	for _, t := range s.targets {
-		if !s.usable(t, r, now) || t.inFlight >= s.limit(t, now) {
-			continue
-		}
-		if best == nil || t.inFlight < best.inFlight || t.inFlight == best.inFlight && t.name < best.name {
-			best = t
-		}
+// predictedTokens is the expected size of a request: its prompt and output.
+func (s *Shard) predictedTokens(c *api.RequestClass) float64 {
+	return float64(c.GetPromptTokens()) + s.lengths.Curve(lengthKey(c)).Remaining(0, s.maxOutput(c))
+}
+
+func lengthKey(c *api.RequestClass) admission.ClassKey {
+	return admission.ClassKey{Account: c.GetAccount(), Model: c.GetModel(), Kind: c.GetClass()}
+}
+
+// maxOutput is the most tokens that a request can produce.
+func (s *Shard) maxOutput(c *api.RequestClass) int {
+	limit := unboundedOutput
+	if class, ok := s.team.Classes[c.GetClass()]; ok && class.MaxTokens > 0 {
+		limit = class.MaxTokens
 	}
-	if best == nil {
-		return nil
+	if c.GetMaxTokens() > 0 {
+		limit = min(limit, int(c.GetMaxTokens()))
 	}
-	s.lastPermit++
-	id := "p" + strconv.FormatUint(s.epoch, 10) + "." + strconv.FormatUint(s.lastPermit, 10)
-	p := &permit{id: id, target: best, holder: r.Holder, class: r.Class, granted: now}
-	s.add(p)
-	s.totals.Grants++
-	return s.proto(p)
+	return limit
 }
+
+// unboundedOutput is the bound of outputs for which neither the request nor
+// the settings give one.
+const unboundedOutput = 32768
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -3,104 +3,206 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/admission"
+	"github.com/endivetrack/endivetrack/internal/routing"
 )
 
-// Times that the owner's view of targets depends on.
 const (
-	// TargetLease is how long an announcement entitles a target to new work.
-	TargetLease = 3 * time.Second
 	// forgetAfter removes a silent target without permits.
 	forgetAfter = 5 * time.Minute
 	// takeOverTime is how long a new owner admits only takeOverShare of each
 	// limit, because holders' reports may still be on their way.
 	takeOverTime  = time.Second
 	takeOverShare = 0.25
+	// reportFloorTime is how long the load that a target reports is a floor
+	// for what the owner knows, after a take-over or the target's first
+	// announcement.
+	reportFloorTime = 2 * time.Second
+	// forecastTTL is how old a target's forecast may be while nothing changes.
+	forecastTTL = 100 * time.Millisecond
 )
 
-// defaultLimit bounds a target that does not say how much it can run.
-const defaultLimit = 8
+// Shares kept for short classes while requests of them arrive.
+const (
+	shortConcurrencyShare = 0.125
+	shortMemoryShare      = 0.05
+	// shortMemory is how long after the last arrival the shares are kept.
+	shortMemory = 30 * time.Second
+)
 
+// target is what the owner knows of one target.
 type target struct {
 	name         string
 	announcement *api.Announcement // nil until the first one
 	seen         time.Time
-	inFlight     int
+	appeared     time.Time // first announcement
+	permits      map[string]*permit
+	shorts       int       // permits of short classes
+	idleSince    time.Time // when the last permit ended
+
+	limit  *admission.Limit // nil until the first announcement
+	margin admission.Margin
+	prefix *routing.PrefixRecord
+
+	forecast   admission.Forecast
+	forecastAt time.Time // zero: must be rebuilt
+
+	sample    admission.Sample // of the control interval
+	gapTokens float64          // tokens behind the sample's gap
+	interval  time.Time        // start of the control interval
 }
 
 // Announce takes a target's announcement.
 func (s *Shard) Announce(a *api.Announcement, now time.Time) {
-	t := s.target(a.GetTarget())
-	if t.announcement != nil && a.GetIncarnation() == t.announcement.GetIncarnation() &&
-		a.GetPreemptionsTotal() > t.announcement.GetPreemptionsTotal() {
-		s.totals.Preemptions += uint64(a.GetPreemptionsTotal() - t.announcement.GetPreemptionsTotal())
-	}
+	t := s.target(a.GetTarget(), now)
+	last := t.announcement
 	t.announcement, t.seen = a, now
+	switch {
+	case last == nil:
+		t.appeared = now
+		t.limit = admission.NewLimit(int(a.GetMaxRunning()))
+		if !a.GetCold() {
+			t.limit.Resume(int(a.GetReportedRunning()))
+		}
+	case last.GetIncarnation() != a.GetIncarnation():
+		t.limit.Cool()
+		t.prefix.Reset()
+	case a.GetCold() && !last.GetCold():
+		t.limit.Cool()
+	}
+	if last != nil && last.GetIncarnation() == a.GetIncarnation() && a.GetPreemptionsTotal() > last.GetPreemptionsTotal() {
+		s.totals.Preemptions += uint64(a.GetPreemptionsTotal() - last.GetPreemptionsTotal())
+		t.sample.Preempted = true
+	}
+	t.limit.SetMax(int(a.GetMaxRunning()))
+	for _, e := range a.GetCacheEvents() {
+		t.prefix.Event(e, now)
+	}
 }
 
-func (s *Shard) target(name string) *target {
+func (s *Shard) target(name string, now time.Time) *target {
 	t := s.targets[name]
 	if t == nil {
-		t = &target{name: name}
+		t = &target{name: name, seen: now, idleSince: now, interval: now, permits: map[string]*permit{}, prefix: routing.NewPrefixRecord()}
 		s.targets[name] = t
 	}
 	return t
 }
 
-func (t *target) serves(model string, plain bool) bool {
-	return t.announcement != nil && (plain || slices.Contains(t.announcement.GetModels(), model))
+// candidate describes the target to the routing plugins, without the fields
+// that depend on the request; nil before the first announcement.
+func (s *Shard) candidate(t *target, short bool, now time.Time) *routing.Candidate {
+	a := t.announcement
+	if a == nil {
+		return nil
+	}
+	c := &routing.Candidate{
+		Name:          t.name,
+		FailureDomain: a.GetFailureDomain(),
+		Models:        a.GetModels(),
+		Announced:     t.seen,
+		Leaving:       a.GetLeaving(),
+		Drained:       slices.Contains(s.service.DrainedTargets, t.name),
+		InService:     s.team.FailureDomainInService(a.GetFailureDomain()),
+		InFlight:      s.inFlight(t, now),
+		Limit:         s.limit(t, now),
+	}
+	if !s.plain() {
+		c.Memory = float64(a.GetMemoryTokens())
+	}
+	if !short && now.Sub(s.shortSeen) < shortMemory {
+		kept := int(math.Ceil(float64(c.Limit) * shortConcurrencyShare))
+		if c.Limit > kept {
+			c.Limit -= max(0, kept-t.shorts)
+		}
+		c.Memory *= 1 - shortMemoryShare
+	}
+	return c
+}
+
+// inFlight is the owner's exact count, or the reported load while the owner
+// may not know all permits yet.
+func (s *Shard) inFlight(t *target, now time.Time) int {
+	n := len(t.permits)
+	if s.trustsReport(t, now) {
+		n = max(n, int(t.announcement.GetReportedRunning()))
+	}
+	return n
 }
 
-func (s *Shard) usable(t *target, r Request, now time.Time) bool {
-	a := t.announcement
-	return t.serves(r.Class.GetModel(), s.plain()) &&
-		now.Sub(t.seen) <= TargetLease && !a.GetLeaving() &&
-		s.team.FailureDomainInService(a.GetFailureDomain()) &&
-		!slices.Contains(s.service.DrainedTargets, t.name) &&
-		!slices.Contains(r.Exclude, t.name)
+func (s *Shard) trustsReport(t *target, now time.Time) bool {
+	return now.Sub(s.started) < reportFloorTime || now.Sub(t.appeared) < reportFloorTime
 }
 
 func (s *Shard) limit(t *target, now time.Time) int {
-	limit := defaultLimit
-	if s.plain() {
-		limit = s.service.MaxInFlight
+	limit := s.service.MaxInFlight
+	if !s.plain() {
+		limit = t.limit.Allowed()
 	}
 	if now.Sub(s.started) < takeOverTime {
-		limit = int(float64(limit)*takeOverShare + 0.5)
+		limit = int(math.Ceil(float64(limit) * takeOverShare))
 	}
 	return limit
 }
 
+// peakWith predicts the peak of the target's resident tokens if it also ran a
+// request of the class.
+func (s *Shard) peakWith(t *target, c *api.RequestClass, now time.Time) float64 {
+	s.refreshForecast(t, now)
+	peak := t.forecast.PeakWith(admission.Sequence{
+		Prompt: int(c.GetPromptTokens()), Max: s.maxOutput(c), Residual: s.lengths.Curve(lengthKey(c)),
+	}, t.margin.Value())
+	if s.trustsReport(t, now) {
+		peak = max(peak, float64(t.announcement.GetReportedTokens()+c.GetPromptTokens()))
+	}
+	return peak
+}
+
+func (s *Shard) refreshForecast(t *target, now time.Time) {
+	if !t.forecastAt.IsZero() && now.Sub(t.forecastAt) < forecastTTL {
+		return
+	}
+	t.forecast, t.forecastAt = admission.Forecast{}, now
+	for _, id := range slices.Sorted(maps.Keys(t.permits)) { // a fixed order of summation
+		t.forecast.Add(s.sequence(t.permits[id], now))
+	}
+}
+
 // FreePermits returns how many permits the targets have left.
 func (s *Shard) FreePermits(now time.Time) int {
 	free := 0
 	for _, t := range s.targets {
 		if s.alive(t, now) {
-			free += max(0, s.limit(t, now)-t.inFlight)
+			free += max(0, s.limit(t, now)-s.inFlight(t, now))
 		}
 	}
 	return free
 }
 
 func (s *Shard) alive(t *target, now time.Time) bool {
-	return t.announcement != nil && now.Sub(t.seen) <= TargetLease && !t.announcement.GetLeaving()
+	return t.announcement != nil && now.Sub(t.seen) <= routing.TargetLease && !t.announcement.GetLeaving()
 }
 
-// forgetSilent removes targets that were silent for long.
-func (s *Shard) forgetSilent(now time.Time) {
-	maps.DeleteFunc(s.targets, func(_ string, t *target) bool {
-		return t.inFlight == 0 && now.Sub(t.seen) > forgetAfter
-	})
+// control ends the target's control interval and adjusts its limit.
+func (t *target) control(now time.Time, targetGap time.Duration) {
+	if now.Sub(t.interval) < admission.ControlInterval || t.limit == nil {
+		return
+	}
+	t.limit.Observe(t.sample, targetGap)
+	t.margin.Observe(t.sample.Preempted)
+	t.sample, t.gapTokens, t.interval = admission.Sample{InFlight: len(t.permits)}, 0, now
 }
 
-// Targets returns the announcement of every announced target, by name.
-func (s *Shard) Targets() []*api.Announcement {
+// Targets returns the announcement of every target that is alive, by name.
+func (s *Shard) Targets(now time.Time) []*api.Announcement {
 	var out []*api.Announcement
 	for _, t := range s.targets {
-		if t.announcement != nil {
+		if s.alive(t, now) {
 			out = append(out, t.announcement)
 		}
 	}
@@ -114,11 +216,16 @@
 	for _, name := range slices.Sorted(maps.Keys(s.targets)) {
 		t := s.targets[name]
 		a := t.announcement
+		if a == nil {
+			continue
+		}
+		s.refreshForecast(t, now)
 		out = append(out, &api.TargetStatus{
 			Name: name, Address: a.GetAddress(), FailureDomain: a.GetFailureDomain(),
-			Cold: a.GetCold(), Leaving: a.GetLeaving(), InService: s.team.FailureDomainInService(a.GetFailureDomain()),
-			InFlight: uint32(t.inFlight), Limit: uint32(s.limit(t, now)),
-			MemoryTokens: a.GetMemoryTokens(), PreemptionsTotal: a.GetPreemptionsTotal(),
+			Cold: !s.plain() && t.limit.Cold(), Leaving: a.GetLeaving(), InService: s.team.FailureDomainInService(a.GetFailureDomain()),
+			InFlight: uint32(len(t.permits)), Limit: uint32(s.limit(t, now)),
+			PredictedTokens: uint32(t.forecast.Peak(t.margin.Value())),
+			MemoryTokens:    a.GetMemoryTokens(), PreemptionsTotal: a.GetPreemptionsTotal(),
 		})
 	}
 	return out
