--- /dev/null
+++ b/standin/loadgen/schedule.go
@@ -0,0 +1,184 @@
+package loadgen
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/endivetrack/endivetrack/standin/expected"
+)
+
+// Kinds of arrivals.
+const (
+	KindGenerate = "generate"
+	KindRead     = "read"
+	KindWrite    = "write"
+)
+
+// Profile is what the callers of one deployment send; deploy/<name>/load.toml.
+type Profile struct {
+	Team         string   `toml:"team"`
+	Model        string   `toml:"model"`
+	PlainService string   `toml:"plain_service"`
+	ReadPaths    []string `toml:"read_paths"`
+	WritePaths   []string `toml:"write_paths"`
+	// Places of the callers, one after the other.
+	Places []Place `toml:"places"`
+	// Classes of generations.
+	Classes []ClassLoad `toml:"classes"`
+	// Accounts with their share of the requests.
+	Accounts []AccountLoad `toml:"accounts"`
+}
+
+// Place is where a caller is.
+type Place struct {
+	Region        string `toml:"region"`
+	FailureDomain string `toml:"failure_domain"`
+}
+
+// ClassLoad is one class of generations.
+type ClassLoad struct {
+	Name  string  `toml:"name"`
+	Short bool    `toml:"short"`
+	Share float64 `toml:"share"`
+	// MaxTokens is the bound that callers ask for.
+	MaxTokens int `toml:"max_tokens"`
+	// PrefixBytes are shared by all prompts of an account and class, BodyBytes
+	// is the mean size of the rest.
+	PrefixBytes int `toml:"prefix_bytes"`
+	BodyBytes   int `toml:"body_bytes"`
+}
+
+// AccountLoad is one client account's part of the load.
+type AccountLoad struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+}
+
+// Load sizes a run.
+type Load struct {
+	Seed uint64
+	// Duration is the span in which requests arrive.
+	Duration time.Duration
+	// GenerateRate, ReadRate and WriteRate are mean arrivals per second.
+	GenerateRate, ReadRate, WriteRate float64
+	// BurstFactor multiplies all rates for BurstLength in every BurstPeriod; the
+	// rate between bursts is lowered so that the mean holds. 1 or 0: no bursts.
+	BurstFactor              float64
+	BurstPeriod, BurstLength time.Duration
+	// RepeatShare of protected writes are sent again with the same key.
+	RepeatShare float64
+}
+
+// Arrival is one request of the schedule.
+type Arrival struct {
+	At      time.Duration
+	Kind    string
+	Account int
+	Class   int
+	Prompt  string
+	Path    string
+	Key     string // idempotency key of a write
+	Repeat  bool   // send the write again after its answer
+}
+
+// Schedule draws all arrivals from the seed. It does not depend on answers, so
+// every policy under test sees the same arrivals.
+func Schedule(p Profile, l Load) []Arrival {
+	var out []Arrival
+	for kind, rate := range map[string]float64{KindGenerate: l.GenerateRate, KindRead: l.ReadRate, KindWrite: l.WriteRate} {
+		rng := rand.New(rand.NewPCG(l.Seed, uint64(len(kind))<<8|uint64(kind[0])))
+		for i, at := range l.times(rate, rng) {
+			out = append(out, p.arrival(kind, l, i, at, rng))
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Arrival) int {
+		if a.At != b.At {
+			return int(a.At - b.At)
+		}
+		return strings.Compare(a.Kind, b.Kind)
+	})
+	return out
+}
+
+// times draws Poisson arrivals by thinning a process at the highest rate.
+func (l Load) times(rate float64, rng *rand.Rand) []time.Duration {
+	if rate <= 0 {
+		return nil
+	}
+	base, peak := rate, rate
+	if l.bursts() {
+		part := float64(l.BurstLength) / float64(l.BurstPeriod)
+		base = rate / (1 - part + part*l.BurstFactor)
+		peak = base * l.BurstFactor
+	}
+	var out []time.Duration
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() / peak * float64(time.Second))
+		if at >= l.Duration {
+			return out
+		}
+		now := base
+		if l.bursts() && at%l.BurstPeriod >= l.BurstPeriod-l.BurstLength {
+			now = peak
+		}
+		if rng.Float64()*peak < now {
+			out = append(out, at)
+		}
+	}
+}
+
+func (l Load) bursts() bool {
+	return l.BurstFactor > 1 && l.BurstPeriod > l.BurstLength && l.BurstLength > 0
+}
+
+func (p Profile) arrival(kind string, l Load, i int, at time.Duration, rng *rand.Rand) Arrival {
+	a := Arrival{At: at, Kind: kind, Account: pick(rng, len(p.Accounts), func(i int) float64 { return p.Accounts[i].Share })}
+	switch kind {
+	case KindGenerate:
+		a.Class = pick(rng, len(p.Classes), func(i int) float64 { return p.Classes[i].Share })
+		a.Prompt = p.prompt(a, l.Seed, i, rng)
+	case KindRead:
+		a.Path = fmt.Sprintf("%s%d", p.ReadPaths[i%len(p.ReadPaths)], rng.IntN(10_000))
+	case KindWrite:
+		a.Path = p.WritePaths[i%len(p.WritePaths)]
+		a.Key = fmt.Sprintf("w-%d-%d", l.Seed, i)
+		a.Repeat = rng.Float64() < l.RepeatShare
+	}
+	return a
+}
+
+func (p Profile) prompt(a Arrival, seed uint64, i int, rng *rand.Rand) string {
+	c := p.Classes[a.Class]
+	marker := ""
+	if c.Short {
+		marker = expected.ShortMarker
+	}
+	prefix := fill(fmt.Sprintf("%s %s %s ", p.Team, p.Accounts[a.Account].Name, c.Name), c.PrefixBytes)
+	body := fill(fmt.Sprintf("request %d of seed %d ", i, seed), int(float64(c.BodyBytes)*(0.5+rng.Float64())))
+	return prefix + body + marker
+}
+
+// fill repeats text up to size bytes; the text itself is always there.
+func fill(text string, size int) string {
+	if size <= len(text) {
+		return text
+	}
+	return strings.Repeat(text, size/len(text)+1)[:size]
+}
+
+func pick(rng *rand.Rand, n int, weight func(int) float64) int {
+	total := 0.0
+	for i := range n {
+		total += weight(i)
+	}
+	x := rng.Float64() * total
+	for i := range n {
+		if x -= weight(i); x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
