--- a/scripts/render.sh
+++ b/scripts/render.sh
@@ -32,7 +32,7 @@
   $1 == "engine" && ++g > engines {next}
   {print}' "$source_dir/instances.txt" >"$dir/instances.txt"
 
-members=$(awk '$1 == "control" {printf "\n[[bootstrap]]\nname = \"%s\"\naddress = \"%s\"\n", $2, $5}' "$dir/instances.txt")
+members=$(awk '$1 == "control" {printf "\n[[bootstrap_members]]\nname = \"%s\"\naddress = \"%s\"\n", $2, $5}' "$dir/instances.txt")
 controls=$(awk '$1 == "control" {printf "%s\"%s\"", sep, $5; sep = ", "}' "$dir/instances.txt")
 
 while read -r kind name region domain address; do
@@ -40,7 +40,7 @@
   text=$(<"$root/deploy/$kind.toml.tmpl")
   text=${text//@name@/$name} text=${text//@region@/$region} text=${text//@failure_domain@/$domain}
   text=${text//@address@/$address} text=${text//@dir@/$dir} text=${text//@operator_digest@/$operator_digest}
-  text=${text//@members@/$members} text=${text//@control_addresses@/$controls}
+  text=${text//@team@/$deployment} text=${text//@members@/$members} text=${text//@control_addresses@/$controls}
   printf '%s\n' "$text" >"$dir/config/$name.toml"
 done <"$dir/instances.txt"
 
--- a/standin/cmd/standin-loadgen/main.go
+++ b/standin/cmd/standin-loadgen/main.go
@@ -21,6 +21,7 @@
 type options struct {
 	profile, entries, keys, out string
 	drain                       time.Duration
+	maxTokens                   int
 	load                        loadgen.Load
 	bounds                      loadgen.Bounds
 }
@@ -41,6 +42,7 @@
 	flag.Float64Var(&o.load.BurstFactor, "burst-factor", 2, "factor on the rates in bursts")
 	flag.DurationVar(&o.load.BurstPeriod, "burst-period", 5*time.Second, "time from burst to burst")
 	flag.DurationVar(&o.load.BurstLength, "burst-length", time.Second, "length of a burst")
+	flag.IntVar(&o.maxTokens, "max-tokens", 0, "bound on the output of every class, below that of the profile; 0 is none")
 	flag.DurationVar(&o.bounds.Gap, "gap", o.bounds.Gap, "time between tokens that is good")
 	flag.DurationVar(&o.bounds.FirstToken, "first-token", o.bounds.FirstToken, "time to the first token that is good")
 	flag.Parse()
@@ -55,6 +57,11 @@
 	if err != nil {
 		return err
 	}
+	for i := range p.Classes {
+		if o.maxTokens > 0 {
+			p.Classes[i].MaxTokens = min(p.Classes[i].MaxTokens, o.maxTokens)
+		}
+	}
 	if o.entries == "" {
 		return errors.New("needs -entries")
 	}
