--- a/scripts/render.sh
+++ b/scripts/render.sh
@@ -2,6 +2,7 @@
 # Renders a deployment into a run folder: makes keys, and writes settings with
 # their digests and one configuration file per process.
 # Usage: render.sh DEPLOYMENT DIR [ENTRIES] [ENGINES]
+# PORT_OFFSET is added to every port, so that several runs fit on one machine.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 deployment=$1 dir=$2 entries=${3:-99} engines=${4:-99}
@@ -27,10 +28,10 @@
 done
 
 # The instances of this run: all of a kind up to the wanted number.
-awk -v entries="$entries" -v engines="$engines" '/^#/ {next}
+awk -v entries="$entries" -v engines="$engines" -v offset="${PORT_OFFSET:-0}" '/^#/ {next}
   $1 == "entry" && ++e > entries {next}
   $1 == "engine" && ++g > engines {next}
-  {print}' "$source_dir/instances.txt" >"$dir/instances.txt"
+  {split($5, a, ":"); print $1, $2, $3, $4, a[1] ":" a[2] + offset}' "$source_dir/instances.txt" >"$dir/instances.txt"
 
 members=$(awk '$1 == "control" {printf "\n[[bootstrap_members]]\nname = \"%s\"\naddress = \"%s\"\n", $2, $5}' "$dir/instances.txt")
 controls=$(awk '$1 == "control" {printf "%s\"%s\"", sep, $5; sep = ", "}' "$dir/instances.txt")
--- /dev/null
+++ b/standin/announce/announce_test.go
@@ -0,0 +1,48 @@
+package announce
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a target that is lost to the system because the one entry
+// instance it announces to fails: it must go on to a learned address.
+func TestAnnouncerMovesOnAfterAFailure(t *testing.T) {
+	got := make(chan string, 10)
+	accept := func(name string, answer ...string) *httptest.Server {
+		return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var m Message
+			if json.NewDecoder(r.Body).Decode(&m) == nil && r.Header.Get("Authorization") == "Bearer key" {
+				got <- name + " " + m.Target
+			}
+			_ = json.NewEncoder(w).Encode(map[string]any{"lease_ms": 3000, "addresses": answer})
+		}))
+	}
+	address := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	second := accept("second")
+	defer second.Close()
+	first := accept("first", address(second))
+
+	a := New([]string{address(first)}, "key", func() Message { return Message{Target: "engine-1"} })
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	now := make(chan struct{})
+	done := make(chan struct{})
+	go func() { a.Run(ctx, now); close(done) }()
+	assert.Equal(t, <-got, "first engine-1")
+	first.Close()
+	now <- struct{}{}
+	assert.Equal(t, <-got, "second engine-1")
+	now <- struct{}{} // taken only after the second announcement was counted
+	cancel()
+	<-done
+	accepted, failed := a.Counts()
+	assert.Assert(t, accepted >= 2 && failed >= 1)
+}
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -25,13 +25,13 @@
 }
 
 // prompt is the text that prefix hashes and output lengths derive from: the
-// contents of the messages, one after the other with a line feed between.
+// contents of the messages, one after the other.
 func (r chatRequest) prompt() string {
-	parts := make([]string, len(r.Messages))
-	for i, m := range r.Messages {
-		parts[i] = m.Content
+	var b strings.Builder
+	for _, m := range r.Messages {
+		b.WriteString(m.Content)
 	}
-	return strings.Join(parts, "\n")
+	return b.String()
 }
 
 // Faults is the body of POST /standin/faults. Absent fields change nothing.
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -42,7 +42,8 @@
 	Late        *Fault   `json:"late"`          // answer after LateMS
 	LateMS      *float64 `json:"late_ms"`       //
 	LoseAnswer  *Fault   `json:"lose_answer"`   // run, then close the connection without an answer
-	Crossed     *Fault   `json:"crossed"`       // answer with another call's answer
+	Crossed     *Fault   `json:"crossed"`       // send another call's answer first, then the own one
+	Swapped     *Fault   `json:"swapped"`       // send only another call's answer
 	CutAnswer   *Fault   `json:"cut_answer"`    // send half of the answer
 	DieAfterRun *Fault   `json:"die_after_run"` // run, then end the process
 	Swallow     bool     `json:"swallow"`       // open connections go silent for good
@@ -122,6 +123,7 @@
 	faultLate        = "late"
 	faultLoseAnswer  = "lose_answer"
 	faultCrossed     = "crossed"
+	faultSwapped     = "swapped"
 	faultCutAnswer   = "cut_answer"
 	faultDieAfterRun = "die_after_run"
 )
@@ -183,10 +185,14 @@
 	previous := s.last
 	s.last = &answer
 	s.mu.Unlock()
-	if previous != nil && s.draw(faultCrossed) {
-		answer = *previous
+	switch {
+	case previous != nil && s.draw(faultCrossed):
+		writeBoth(w, *previous, answer)
+	case previous != nil && s.draw(faultSwapped):
+		s.write(w, *previous)
+	default:
+		s.write(w, answer)
 	}
-	s.write(w, answer)
 }
 
 func pause(r *http.Request, d time.Duration) {
@@ -283,6 +289,24 @@
 	_, _ = w.Write(data)
 }
 
+// writeBoth sends the answer of another call before the own one on the same
+// connection, as a server does that mixes up its calls.
+func writeBoth(w http.ResponseWriter, other, own Answer) {
+	c, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // HTTP/1.1 connections can be taken over
+	}
+	defer c.Close()
+	for _, a := range []Answer{other, own} {
+		data, err := json.Marshal(a)
+		if err != nil {
+			panic(err) // an Answer always encodes
+		}
+		fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", a.RequestID, len(data), data)
+	}
+	_ = buffered.Flush()
+}
+
 func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request, listener *netfault.Listener) {
 	var f Faults
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&f); err != nil {
@@ -295,7 +319,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for kind, v := range map[string]*Fault{
-		faultLate: f.Late, faultLoseAnswer: f.LoseAnswer, faultCrossed: f.Crossed,
+		faultLate: f.Late, faultLoseAnswer: f.LoseAnswer, faultCrossed: f.Crossed, faultSwapped: f.Swapped,
 		faultCutAnswer: f.CutAnswer, faultDieAfterRun: f.DieAfterRun,
 	} {
 		if v != nil {
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -1,9 +1,11 @@
 package service
 
 import (
+	"bufio"
 	"encoding/json"
 	"hash/crc32"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -44,6 +46,30 @@
 	assert.Equal(t, resp.StatusCode, http.StatusNoContent)
 }
 
+// Guards against the fault "crossed" without the own answer: a caller that
+// waits for it must get it.
+func TestCrossedAnswerIsFollowedByTheOwnOne(t *testing.T) {
+	server := httptest.NewServer(New(Config{Target: "core-1"}, "127.0.0.1:1", Hooks{}).Handler(nil))
+	defer server.Close()
+	_, _, err := call(t, server.URL, "POST", "/bids", "r1", "k1", "1")
+	assert.NilError(t, err)
+	setFaults(t, server.URL, `{"crossed":{"next":1}}`)
+	c, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(c, "POST /bids HTTP/1.1\r\nHost: x\r\nX-Request-Id: r2\r\nContent-Length: 1\r\n\r\n1")
+	assert.NilError(t, err)
+	r := bufio.NewReader(c)
+	for _, id := range []string{"r1", "r2"} {
+		resp, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Header.Get("X-Request-Id"), id)
+	}
+}
+
 // Guards against a record that misses an execution whose answer was lost, late,
 // cut or crossed: such a record would hide double execution.
 func TestRecordCountsWhatRan(t *testing.T) {
@@ -64,10 +90,12 @@
 	setFaults(t, server.URL, `{"cut_answer":{"next":1}}`)
 	_, _, err = call(t, server.URL, "POST", "/bids", "r3", "k2", "100")
 	assert.Assert(t, err != nil)
-	setFaults(t, server.URL, `{"crossed":{"next":1}}`)
-	resp, a, err = call(t, server.URL, "POST", "/payments", "r4", "k4", "100")
-	assert.NilError(t, err)
-	assert.Assert(t, resp.Header.Get("X-Request-Id") != "r4" && a.Path == "/bids")
+	for _, kind := range []string{"crossed", "swapped"} {
+		setFaults(t, server.URL, `{"`+kind+`":{"next":1}}`)
+		resp, a, err = call(t, server.URL, "POST", "/payments", "r4"+kind, "k4"+kind, "100")
+		assert.NilError(t, err)
+		assert.Assert(t, resp.Header.Get("X-Request-Id") != "r4"+kind && a.Key != "k4"+kind)
+	}
 	setFaults(t, server.URL, `{"late":{"next":1},"late_ms":30,"die_after_run":{"next":1}}`)
 	start := time.Now()
 	_, _, err = call(t, server.URL, "POST", "/payments", "r5", "k5", "100")
@@ -79,9 +107,9 @@
 	assert.Equal(t, a.Path, "/lots/3")
 
 	r := s.Snapshot()
-	assert.Equal(t, len(r.Executions), 5)
+	assert.Equal(t, len(r.Executions), 6)
 	assert.Equal(t, r.Reads, int64(1))
-	assert.DeepEqual(t, r.PerKey, map[string]int{"k1": 1, "k2": 2, "k4": 1, "k5": 1})
+	assert.DeepEqual(t, r.PerKey, map[string]int{"k1": 1, "k2": 2, "k4crossed": 1, "k4swapped": 1, "k5": 1})
 	assert.Equal(t, r.PerRequestID["r2"], 1)
-	assert.DeepEqual(t, r.Faults, map[string]int{"lose_answer": 1, "cut_answer": 1, "crossed": 1, "late": 1, "die_after_run": 1})
+	assert.DeepEqual(t, r.Faults, map[string]int{"lose_answer": 1, "cut_answer": 1, "crossed": 1, "swapped": 1, "late": 1, "die_after_run": 1})
 }
