--- a/standin/loadgen/report.go
+++ b/standin/loadgen/report.go
@@ -83,6 +83,16 @@
 	GoodRequests int     `json:"good_requests"`
 	Timeline     []int   `json:"whole_per_second"` // whole requests by second of their end
 	Writes       []Write `json:"writes"`
+	// Generations has the times of each generation.
+	Generations []GenerationTimes `json:"generations"`
+}
+
+// GenerationTimes are wall clock microseconds; FirstToken is 0 when none came.
+type GenerationTimes struct {
+	Due        int64 `json:"due"`
+	FirstToken int64 `json:"first_token"`
+	End        int64 `json:"end"`
+	Tokens     int   `json:"tokens"`
 }
 
 // recorder collects a report from concurrent requests.
--- a/standin/loadgen/run.go
+++ b/standin/loadgen/run.go
@@ -140,6 +140,11 @@
 	r.report.Foreign += w.foreign
 	r.report.Cut += g.Cuts
 	r.report.Repeats += max(0, g.Sends-1)
+	times := GenerationTimes{Due: q.due.UnixMicro(), End: time.Now().UnixMicro(), Tokens: w.next}
+	if w.next > 0 {
+		times.FirstToken = q.due.Add(w.first).UnixMicro()
+	}
+	r.report.Generations = append(r.report.Generations, times)
 	q.observeTokens(class.Name, w)
 	switch {
 	case w.whole(g):
