--- /dev/null
+++ b/standin/cmd/standin-measure/main.go
@@ -0,0 +1,217 @@
+// Command standin-measure prints the figures of a benchmark: one table per
+// deployment with each policy, and a last line that compares the first policy
+// with the best of the others.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/endivetrack/endivetrack/standin/engine"
+	"github.com/endivetrack/endivetrack/standin/loadgen"
+	"github.com/endivetrack/endivetrack/standin/measure"
+)
+
+// Phases of a benchmark run; each has a report <phase>.json in the run folder.
+const (
+	phaseSteady = "steady" // bursts around the engines' capacity
+	phaseOver   = "over"   // 130 in 100 of the capacity
+	phaseDomain = "domain" // a failure domain leaves and returns
+)
+
+var phases = []string{phaseSteady, phaseOver, phaseDomain}
+
+func main() {
+	run := flag.String("run", "", "folder with <policy>/<deployment>/")
+	policies := flag.String("policies", "", "policies, the one under test first, separated by commas")
+	deployments := flag.String("deployments", "", "deployments, separated by commas")
+	spans := flag.String("spans", "", "arrival span of each phase: steady=20s,over=10s,domain=12s")
+	capacity := measure.Capacity{}
+	flag.IntVar(&capacity.Warm, "warm", 14, "sequences at which a warm engine reaches nine tenths of its highest token rate")
+	flag.IntVar(&capacity.Cold, "cold", 4, "sequences that a cold engine bears")
+	flag.Parse()
+	if err := report(*run, strings.Split(*policies, ","), strings.Split(*deployments, ","), *spans, capacity); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func parseSpans(text string) (map[string]time.Duration, error) {
+	out := map[string]time.Duration{}
+	for _, part := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(part, "=")
+		d, err := time.ParseDuration(value)
+		if err != nil {
+			return nil, fmt.Errorf("-spans %q: %w", part, err)
+		}
+		out[name] = d
+	}
+	return out, nil
+}
+
+// result holds the figures of one policy at one deployment by phase.
+type result map[string]measure.Figures
+
+func report(run string, policies, deployments []string, spanText string, c measure.Capacity) error {
+	spans, err := parseSpans(spanText)
+	if err != nil {
+		return err
+	}
+	var worst *summary
+	for _, d := range deployments {
+		var results []result
+		for _, p := range policies {
+			r, err := load(filepath.Join(run, p, d), spans, c)
+			if err != nil {
+				return fmt.Errorf("%s at %s: %w", p, d, err)
+			}
+			results = append(results, r)
+		}
+		printTable(d, policies, results)
+		s := summarize(results)
+		worst = worst.worse(s)
+	}
+	fmt.Printf("bench: tbt_p99_ratio=%.2f preempt_ratio=%.2f stall_ratio=%.2f goodput_130=%.2f fd_service=%.4f idle=%.4f\n",
+		worst.gap, worst.preempt, worst.stall, worst.goodput, worst.service, worst.idle)
+	return nil
+}
+
+func load(dir string, spans map[string]time.Duration, c measure.Capacity) (result, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "records", "*.json"))
+	if err != nil {
+		return nil, err
+	}
+	engines := make([]engine.Record, len(files))
+	for i, f := range files {
+		if err := readJSON(f, &engines[i]); err != nil {
+			return nil, err
+		}
+	}
+	out := result{}
+	for _, phase := range phases {
+		var r loadgen.Report
+		if err := readJSON(filepath.Join(dir, phase+".json"), &r); err != nil {
+			return nil, err
+		}
+		out[phase] = measure.Of(r, engines, c, spans[phase].Microseconds())
+	}
+	return out, nil
+}
+
+func readJSON(file string, out any) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
+
+// measures are the columns of the table.
+var measures = []struct {
+	name   string
+	format string
+	of     func(result) float64
+	higher bool // higher is better
+}{
+	{"tbt_p99_ms", "%.1f", func(r result) float64 { return r[phaseSteady].GapP99 }, false},
+	{"preempt/gen", "%.4f", func(r result) float64 { return r[phaseSteady].Preemptions }, false},
+	{"stall_ms/gen", "%.1f", func(r result) float64 { return r[phaseSteady].StallMS }, false},
+	{"good_tok/s", "%.0f", func(r result) float64 { return r[phaseSteady].Goodput }, true},
+	{"good_tok/s@130", "%.0f", func(r result) float64 { return r[phaseOver].Goodput }, true},
+	{"tbt_p99@130", "%.1f", func(r result) float64 { return r[phaseOver].GapP99 }, false},
+	{"fd_service", "%.4f", func(r result) float64 { return r[phaseDomain].Service }, true},
+	{"idle", "%.4f", func(r result) float64 { return r[phaseSteady].Idle }, false},
+}
+
+func printTable(deployment string, policies []string, results []result) {
+	fmt.Printf("%s\n  %-24s", deployment, "policy")
+	for _, m := range measures {
+		fmt.Printf(" %15s", m.name)
+	}
+	fmt.Println()
+	for i, p := range policies {
+		fmt.Printf("  %-24s", p)
+		for _, m := range measures {
+			fmt.Printf(" %15s", fmt.Sprintf(m.format, m.of(results[i])))
+		}
+		fmt.Println()
+	}
+	fmt.Printf("  %-24s", "ratio to best baseline")
+	for _, m := range measures {
+		best, ok := best(results[1:], m.of, m.higher)
+		text := "-"
+		if ok {
+			text = fmt.Sprintf("%.3f", ratio(m.of(results[0]), best))
+		}
+		fmt.Printf(" %15s", text)
+	}
+	fmt.Println()
+}
+
+func best(results []result, of func(result) float64, higher bool) (float64, bool) {
+	if len(results) == 0 {
+		return 0, false
+	}
+	out := of(results[0])
+	for _, r := range results[1:] {
+		if higher {
+			out = max(out, of(r))
+		} else {
+			out = min(out, of(r))
+		}
+	}
+	return out, true
+}
+
+// ratio of two figures; two zeros are equal.
+func ratio(a, b float64) float64 {
+	if a == b {
+		return 1
+	}
+	return a / b
+}
+
+// summary is the last line: ratios to the best baseline, and the policy's own
+// figures. goodput is the rate of good tokens at 130 in 100 of the capacity as
+// a share of that at steady load.
+type summary struct {
+	gap, preempt, stall, goodput, service, idle float64
+}
+
+func summarize(results []result) *summary {
+	own, others := results[0], results[1:]
+	to := func(of func(result) float64) float64 {
+		b, ok := best(others, of, false)
+		if !ok {
+			return 1
+		}
+		return ratio(of(own), b)
+	}
+	return &summary{
+		gap:     to(measures[0].of),
+		preempt: to(measures[1].of),
+		stall:   to(measures[2].of),
+		goodput: ratio(own[phaseOver].Goodput, own[phaseSteady].Goodput),
+		service: own[phaseDomain].Service,
+		idle:    own[phaseSteady].Idle,
+	}
+}
+
+// worse takes the worse of each figure over the deployments.
+func (s *summary) worse(o *summary) *summary {
+	if s == nil {
+		return o
+	}
+	return &summary{
+		gap: max(s.gap, o.gap), preempt: max(s.preempt, o.preempt), stall: max(s.stall, o.stall),
+		goodput: min(s.goodput, o.goodput), service: min(s.service, o.service), idle: max(s.idle, o.idle),
+	}
+}
