--- /dev/null
+++ b/bench/slopes/sessions.go
@@ -0,0 +1,228 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/peerauth"
+	"github.com/endivetrack/endivetrack/internal/session"
+	"github.com/endivetrack/endivetrack/internal/timeline"
+	"github.com/endivetrack/endivetrack/standin/cluster"
+)
+
+// Times of one measurement.
+const (
+	settleTime    = 2 * time.Second
+	sampleTime    = 4 * time.Second
+	startTimeout  = 20 * time.Second
+	changesPerRun = 10
+)
+
+// Size is one size of the control plane to measure.
+type Size struct {
+	Voters   int
+	Sessions int
+	Accounts int
+}
+
+// Cost is what control cost at one size.
+type Cost struct {
+	Size Size
+	// LeaderCPU and FollowerCPU are percent of one core; FollowerCPU is the
+	// mean of the followers.
+	LeaderCPU, FollowerCPU float64
+	LeaderMB, FollowerMB   float64
+	// NodeCPU, NodeKBs and NodeMB are one light session's share of the
+	// measuring process: percent of a core, kilobytes a second, megabytes.
+	NodeCPU, NodeKBs, NodeMB float64
+	// ChangeKB is what one change of settings cost one session in kilobytes.
+	ChangeKB float64
+	// AcceptedP50 and InForceP50 and InForceMax are times since the change was
+	// sent, in milliseconds.
+	AcceptedP50, InForceP50, InForceMax float64
+}
+
+// lightNodes holds sessions without callers and targets.
+type lightNodes struct {
+	sessions []*session.Session
+	bytes    *byteCounter
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// startNodes opens n sessions spread over the places.
+func startNodes(ctx context.Context, n int, controls []string, peerKey string) *lightNodes {
+	ctx, cancel := context.WithCancel(ctx)
+	nodes := &lightNodes{bytes: &byteCounter{}, cancel: cancel}
+	clock := timeline.NewClock(time.Now)
+	for i := range n {
+		place := cluster.Places[i%len(cluster.Places)]
+		s := session.New(session.Config{
+			Instance: &api.Instance{
+				Name: fmt.Sprintf("node-%03d", i), Incarnation: peerauth.NewKey()[:16],
+				Region: place.Region, FailureDomain: place.FailureDomain,
+				Address: fmt.Sprintf("127.0.%d.%d:7000", 100+i/250, 1+i%250),
+			},
+			ControlAddresses: controls,
+			Peers:            &http.Client{Transport: clock.Transport(peerauth.Transport(peerKey, nodes.bytes.transport()))},
+			Logger:           zerolog.Nop(),
+		})
+		nodes.sessions = append(nodes.sessions, s)
+		nodes.done.Go(func() { s.Run(ctx) })
+	}
+	return nodes
+}
+
+func (n *lightNodes) stop() {
+	n.cancel()
+	n.done.Wait()
+}
+
+func (n *lightNodes) allFresh(version uint64) bool {
+	for _, s := range n.sessions {
+		if !s.Fresh() || s.View().Version < version {
+			return false
+		}
+	}
+	return true
+}
+
+// MeasureSessions runs control at one size and returns its cost.
+func MeasureSessions(ctx context.Context, binDir string, size Size) (Cost, error) {
+	dir, err := os.MkdirTemp("", "slopes")
+	if err != nil {
+		return Cost{}, err
+	}
+	defer os.RemoveAll(dir)
+	c, err := cluster.New(cluster.Options{BinDir: binDir, Dir: dir, Controls: size.Voters, Accounts: size.Accounts})
+	if err != nil {
+		return Cost{}, err
+	}
+	defer c.Stop()
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := c.Start(startCtx); err != nil {
+		return Cost{}, fmt.Errorf("start %+v: %w", size, err)
+	}
+	key, err := os.ReadFile(filepath.Join(dir, "peer.key"))
+	if err != nil {
+		return Cost{}, err
+	}
+	heapBefore := heapBytes()
+	nodes := startNodes(ctx, size.Sessions, addresses(c.Controls), string(key[:len(key)-1]))
+	defer nodes.stop()
+	if err := cluster.WaitUntil(startCtx, "fresh sessions", func() bool { return nodes.allFresh(1) }); err != nil {
+		return Cost{}, err
+	}
+	time.Sleep(settleTime)
+	cost := Cost{Size: size, NodeMB: float64(heapBytes()-heapBefore) / float64(size.Sessions) / (1 << 20)}
+	if err := cost.sampleIdle(ctx, c, nodes); err != nil {
+		return Cost{}, err
+	}
+	return cost, cost.sampleChanges(ctx, c, nodes)
+}
+
+func addresses(ps []*cluster.Process) []string {
+	var out []string
+	for _, p := range ps {
+		out = append(out, p.Address)
+	}
+	return out
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// sampleIdle measures processor time, memory and bytes without changes.
+func (cost *Cost) sampleIdle(ctx context.Context, c *cluster.Cluster, nodes *lightNodes) error {
+	leader, err := leaderName(ctx, c)
+	if err != nil {
+		return err
+	}
+	bytesBefore := nodes.bytes.total()
+	self, err := UsageOf(os.Getpid())
+	if err != nil {
+		return err
+	}
+	before := map[string]Usage{}
+	for _, p := range c.Controls {
+		if before[p.Name], err = UsageOf(p.PID()); err != nil {
+			return err
+		}
+	}
+	start := time.Now()
+	time.Sleep(sampleTime)
+	elapsed := time.Since(start)
+	for _, p := range c.Controls {
+		u, err := UsageOf(p.PID())
+		if err != nil {
+			return err
+		}
+		percent := 100 * float64(u.CPU-before[p.Name].CPU) / float64(elapsed)
+		mb := float64(u.Resident) / (1 << 20)
+		if p.Name == leader {
+			cost.LeaderCPU, cost.LeaderMB = percent, mb
+		} else {
+			cost.FollowerCPU += percent / float64(len(c.Controls)-1)
+			cost.FollowerMB = max(cost.FollowerMB, mb)
+		}
+	}
+	after, err := UsageOf(os.Getpid())
+	if err != nil {
+		return err
+	}
+	n := float64(len(nodes.sessions))
+	cost.NodeCPU = 100 * float64(after.CPU-self.CPU) / float64(elapsed) / n
+	cost.NodeKBs = float64(nodes.bytes.total()-bytesBefore) / elapsed.Seconds() / n / 1000
+	return nil
+}
+
+func leaderName(ctx context.Context, c *cluster.Cluster) (string, error) {
+	op, err := c.Operator()
+	if err != nil {
+		return "", err
+	}
+	s, err := op.Status(ctx)
+	if err != nil {
+		return "", err
+	}
+	return s.Leader, nil
+}
+
+// sampleChanges applies changes and measures when they are in force.
+func (cost *Cost) sampleChanges(ctx context.Context, c *cluster.Cluster, nodes *lightNodes) error {
+	var accepted, inForce []float64
+	bytesBefore, start := nodes.bytes.total(), time.Now()
+	for i := range changesPerRun {
+		a, f, err := c.SetInService(ctx, cluster.Places[2].FailureDomain, i%2 == 1)
+		if err != nil {
+			return err
+		}
+		accepted = append(accepted, milliseconds(a))
+		inForce = append(inForce, milliseconds(f))
+	}
+	n := float64(len(nodes.sessions))
+	idle := cost.NodeKBs * time.Since(start).Seconds()
+	cost.ChangeKB = max(0, (float64(nodes.bytes.total()-bytesBefore)/1000/n-idle)/changesPerRun)
+	sort.Float64s(accepted)
+	sort.Float64s(inForce)
+	cost.AcceptedP50 = accepted[len(accepted)/2]
+	cost.InForceP50, cost.InForceMax = inForce[len(inForce)/2], inForce[len(inForce)-1]
+	return nil
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/cmd/endivetrack-control/run.go
+++ b/cmd/endivetrack-control/run.go
@@ -13,11 +13,10 @@
 	"github.com/google/subcommands"
 	"github.com/gravitational/trace"
 
+	"github.com/endivetrack/endivetrack/internal/agreement"
 	"github.com/endivetrack/endivetrack/internal/control"
-	"github.com/endivetrack/endivetrack/internal/control/memlog"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/process"
-	"github.com/endivetrack/endivetrack/internal/resultcode"
 	"github.com/endivetrack/endivetrack/internal/state"
 )
 
@@ -26,8 +25,7 @@
 const stopTimeout = 3 * time.Second
 
 type runCommand struct {
-	config    string
-	memoryLog bool
+	config string
 }
 
 func (*runCommand) Name() string     { return "run" }
@@ -37,7 +35,6 @@
 // SetFlags defines the command's flags.
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.config, "config", "control.toml", "configuration file")
-	f.BoolVar(&c.memoryLog, "memory-log", false, "tests only: keep the log in memory, alone")
 }
 
 // Execute runs until SIGTERM.
@@ -60,11 +57,16 @@
 		return trace.Wrap(err)
 	}
 	defer env.Close()
-	if !c.memoryLog {
-		return trace.Wrap(resultcode.Newf(resultcode.Internal, "this build has only the log in memory; start with -memory-log"))
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return trace.Wrap(err)
 	}
 	machine := state.New()
-	node := memlog.NewGroup().Add(cfg.Name, cfg.Advertise, machine)
+	node, err := agreement.Start(cfg.agreement(), machine, agreement.NewTwirpTransport(env.Peers), env)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer node.Stop()
 	server := control.New(control.Config{
 		Name:                  cfg.Name,
 		Address:               cfg.Advertise,
@@ -76,17 +78,14 @@
 		Metrics:               env.Metrics,
 		Timeline:              env.Timeline,
 	})
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	env.Timeline.Record("started")
-	handler := server.Handler(env, peerauth.Digest(cfg.PeerKey), nil)
-	return serve(ctx, listener, process.NewServer(handler), server)
+	env.Timeline.Record("started", "incarnation", node.Incarnation())
+	env.Log.Info().Str("incarnation", node.Incarnation()).Msg("control instance started")
+	handler := server.Handler(env, peerauth.Digest(cfg.PeerKey), map[string]http.Handler{agreement.PathPrefix: node.Handler()})
+	return serve(ctx, listener, process.NewServer(handler), server, node)
 }
 
 // serve runs until ctx ends, then lets the calls in progress finish.
-func serve(ctx context.Context, l net.Listener, hs *http.Server, server *control.Server) error {
+func serve(ctx context.Context, l net.Listener, hs *http.Server, server *control.Server, node *agreement.Node) error {
 	loops, stopLoops := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { server.Run(loops) })
@@ -97,6 +96,8 @@
 	select {
 	case err := <-failed:
 		return trace.Wrap(err)
+	case <-node.Done():
+		return trace.Wrap(node.Err())
 	case <-ctx.Done():
 	}
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -185,9 +185,9 @@
 	b.WriteString(c.common(p, placeOf(i)))
 	fmt.Fprintf(&b, "data_dir = %q\n", c.DataDir(i))
 	for _, m := range c.Controls {
-		fmt.Fprintf(&b, "[[bootstrap_members]]\nname = %q\naddress = %q\n", m.Name, m.Address)
+		fmt.Fprintf(&b, "[[bootstrap]]\nname = %q\naddress = %q\n", m.Name, m.Address)
 	}
-	fmt.Fprintf(&b, "[bootstrap_operator_key_sha256]\n%s = [%q]\n", Team, peerauth.Digest(c.operatorKey))
+	fmt.Fprintf(&b, "[[operators]]\nteam = %q\nkey_sha256 = [%q]\n", Team, peerauth.Digest(c.operatorKey))
 	return b.String()
 }
 
