--- /dev/null
+++ b/cmd/endivetrack-control/config.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/endivetrack/endivetrack/internal/agreement"
+	"github.com/endivetrack/endivetrack/internal/peerauth"
+	"github.com/endivetrack/endivetrack/internal/process"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// maxVoters bounds the first members of the group.
+const maxVoters = 7
+
+// config is the configuration file of a control instance.
+type config struct {
+	process.Config
+	// DataDir keeps the log and snapshots. Default: none, the instance follows
+	// as a non-voting learner.
+	DataDir string `toml:"data_dir"`
+	// Bootstrap are the first voters, equal on all of them. They count only
+	// while the data folder is empty.
+	Bootstrap []member `toml:"bootstrap"`
+	// Operators may create a team's first settings. Once those are accepted,
+	// only the keys that they name open the team.
+	Operators []operator `toml:"operators"`
+}
+
+// operator names the first keys of a team.
+type operator struct {
+	Team      string   `toml:"team"`
+	KeySHA256 []string `toml:"key_sha256"`
+}
+
+// member is one of the first voters.
+type member struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
+}
+
+// agreement returns the configuration of this instance's node.
+func (c *config) agreement() agreement.Config {
+	a := agreement.Config{Name: c.Name, Address: c.Advertise, DataDir: c.DataDir}
+	for _, m := range c.Bootstrap {
+		a.Bootstrap = append(a.Bootstrap, agreement.Member{Name: m.Name, Address: m.Address, Voter: true})
+	}
+	return a
+}
+
+// loadConfig reads and checks a configuration file.
+func loadConfig(file string) (*config, error) {
+	var c config
+	if err := process.Load(file, &c); err != nil {
+		return nil, err
+	}
+	if err := c.Check(file); err != nil {
+		return nil, err
+	}
+	if err := c.checkMembers(file); err != nil {
+		return nil, err
+	}
+	for _, o := range c.Operators {
+		if o.Team == "" {
+			return nil, invalid(file, "operators.team", o.Team, "must be present")
+		}
+		for _, d := range o.KeySHA256 {
+			if !peerauth.ValidDigest(d) {
+				return nil, invalid(file, "operators.key_sha256", d, "must be a lower-case hex SHA-256 digest")
+			}
+		}
+	}
+	return &c, nil
+}
+
+// operatorKeys returns the digests of the first operator keys by team.
+func (c *config) operatorKeys() map[string][]string {
+	out := map[string][]string{}
+	for _, o := range c.Operators {
+		out[o.Team] = append(out[o.Team], o.KeySHA256...)
+	}
+	return out
+}
+
+func (c *config) checkMembers(file string) error {
+	if n := len(c.Bootstrap); n > maxVoters {
+		return invalid(file, "bootstrap", "", "at most 7 voters")
+	}
+	var names []string
+	for _, m := range c.Bootstrap {
+		if m.Name == "" || slices.Contains(names, m.Name) {
+			return invalid(file, "bootstrap.name", m.Name, "must be present and unique")
+		}
+		if err := process.CheckAddress(m.Address); err != nil {
+			return invalid(file, "bootstrap.address", m.Address, err.Error())
+		}
+		names = append(names, m.Name)
+	}
+	return nil
+}
+
+func invalid(file, key, value, rule string) error {
+	return trace.Wrap(resultcode.Newf(resultcode.SettingsInvalid, "%s: key %q: value %q: %s", file, key, value, rule))
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/endivetrack/endivetrack/internal/faultpoint"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/timeline"
 )
@@ -70,7 +72,53 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleTimeout,
 	}
-	return &http.Client{Transport: clock.Transport(peerauth.Transport(peerKey, base))}
+	return &http.Client{Transport: clock.Transport(peerauth.Transport(peerKey, peerFaults{freshAfterTimeout{base}}))}
+}
+
+// Fault points of calls to peers; the peer's address follows the prefix.
+const (
+	pointPeerSend    = "peer.send:"    // before the request leaves
+	pointPeerReceive = "peer.receive:" // after the answer came, before it is used
+)
+
+// freshAfterTimeout closes the idle connections after a call that timed out.
+// Connections can go silent for good while new ones work, and several of the
+// pool go silent together; the next call must not try them one by one.
+type freshAfterTimeout struct {
+	base *http.Transport
+}
+
+// RoundTrip makes the call.
+func (t freshAfterTimeout) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.base.RoundTrip(r)
+	if err != nil && errors.Is(r.Context().Err(), context.DeadlineExceeded) {
+		t.base.CloseIdleConnections()
+	}
+	return resp, err
+}
+
+// peerFaults lets tests cut the way to or from one peer. A cut is silent: the
+// caller learns of it by its own timeout only.
+type peerFaults struct {
+	next http.RoundTripper
+}
+
+// RoundTrip passes both fault points.
+func (t peerFaults) RoundTrip(r *http.Request) (*http.Response, error) {
+	if err := faultpoint.Hit(faultpoint.Point(pointPeerSend + r.URL.Host)); err != nil {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	resp, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := faultpoint.Hit(faultpoint.Point(pointPeerReceive + r.URL.Host)); err != nil {
+		_ = resp.Body.Close()
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return resp, nil
 }
 
 // Counters returns the totals of all counters, for the metrics page.
@@ -84,8 +132,17 @@
 	return trace.NewAggregate(e.close.Close(), e.Timeline.Close())
 }
 
+// faultsPath serves fault injection; test builds only.
+const faultsPath = "/faults"
+
 // NewServer returns an HTTP server with the bounds that all processes share.
 func NewServer(handler http.Handler) *http.Server {
+	if faults := faultpoint.Handler(); faults != nil {
+		mux := http.NewServeMux()
+		mux.Handle(faultsPath, faults)
+		mux.Handle("/", handler)
+		handler = mux
+	}
 	return &http.Server{
 		Handler:           handler,
 		MaxHeaderBytes:    maxHeaderBytes,
