control: run on the agreement group's node

The in-memory log moves into the tests. MaxCommandBytes of the agreement package now covers settings of the greatest size with their envelope; before, a file between 1 MiB less its envelope and 1 MiB passed the checks and could not be proposed.

--- a/cmd/endivetrack-control/config.go
+++ b/cmd/endivetrack-control/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/endivetrack/endivetrack/internal/agreement"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/process"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
@@ -64,6 +65,15 @@
 	return &c, nil
 }
 
+// agreement returns the configuration of the agreement group's node.
+func (c *config) agreement() agreement.Config {
+	out := agreement.Config{Name: c.Name, Address: c.Advertise, DataDir: c.DataDir}
+	for _, m := range c.Bootstrap {
+		out.Bootstrap = append(out.Bootstrap, agreement.Member{Name: m.Name, Address: m.Address, Voter: true})
+	}
+	return out
+}
+
 // operatorKeys returns the digests of the first operator keys by team.
 func (c *config) operatorKeys() map[string][]string {
 	out := map[string][]string{}
--- a/cmd/endivetrack-control/run.go
+++ b/cmd/endivetrack-control/run.go
@@ -13,11 +13,10 @@
 	"github.com/google/subcommands"
 	"github.com/gravitational/trace"
 
+	"github.com/endivetrack/endivetrack/internal/agreement"
 	"github.com/endivetrack/endivetrack/internal/control"
-	"github.com/endivetrack/endivetrack/internal/control/memlog"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/process"
-	"github.com/endivetrack/endivetrack/internal/resultcode"
 	"github.com/endivetrack/endivetrack/internal/state"
 )
 
@@ -26,8 +25,7 @@
 const stopTimeout = 3 * time.Second
 
 type runCommand struct {
-	config    string
-	memoryLog bool
+	config string
 }
 
 func (*runCommand) Name() string     { return "run" }
@@ -37,7 +35,6 @@
 // SetFlags defines the command's flags.
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.config, "config", "control.toml", "configuration file")
-	f.BoolVar(&c.memoryLog, "memory-log", false, "tests only: keep the log in memory, alone")
 }
 
 // Execute runs until SIGTERM.
@@ -48,23 +45,31 @@
 	}
 	ctx, cancel := process.SignalContext()
 	defer cancel()
-	if err := c.run(ctx, cfg); err != nil {
+	if err := run(ctx, cfg); err != nil {
 		return fail(err)
 	}
 	return subcommands.ExitSuccess
 }
 
-func (c *runCommand) run(ctx context.Context, cfg *config) error {
+// run starts the instance's parts. The listener comes first, so that a port
+// that is taken is found before the data folder is touched.
+func run(ctx context.Context, cfg *config) error {
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer listener.Close()
 	env, err := process.NewEnv(cfg.Config, os.Stderr)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	defer env.Close()
-	if !c.memoryLog {
-		return trace.Wrap(resultcode.Newf(resultcode.Internal, "this build has only the log in memory; start with -memory-log"))
-	}
 	machine := state.New()
-	node := memlog.NewGroup().Add(cfg.Name, cfg.Advertise, machine)
+	node, err := agreement.Start(cfg.agreement(), machine, agreement.NewTwirpTransport(env.Peers), env)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer node.Stop()
 	server := control.New(control.Config{
 		Name:                  cfg.Name,
 		Address:               cfg.Advertise,
@@ -76,17 +81,18 @@
 		Metrics:               env.Metrics,
 		Timeline:              env.Timeline,
 	})
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return trace.Wrap(err)
-	}
 	env.Timeline.Record("started")
-	handler := server.Handler(env, peerauth.Digest(cfg.PeerKey), nil)
-	return serve(ctx, listener, process.NewServer(handler), server)
+	handler := server.Handler(env, peerauth.Digest(cfg.PeerKey), map[string]http.Handler{
+		agreement.PathPrefix: node.Handler(),
+	})
+	err = serve(ctx, listener, process.NewServer(handler), server, node)
+	env.Timeline.Record("stopped")
+	return err
 }
 
-// serve runs until ctx ends, then lets the calls in progress finish.
-func serve(ctx context.Context, l net.Listener, hs *http.Server, server *control.Server) error {
+// serve runs until ctx ends, then lets the calls in progress finish. A node
+// that stops by itself has met a fatal error, which ends the process.
+func serve(ctx context.Context, l net.Listener, hs *http.Server, server *control.Server, node *agreement.Node) error {
 	loops, stopLoops := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { server.Run(loops) })
@@ -97,6 +103,8 @@
 	select {
 	case err := <-failed:
 		return trace.Wrap(err)
+	case <-node.Done():
+		return trace.Wrap(node.Err())
 	case <-ctx.Done():
 	}
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
--- a/internal/agreement/config.go
+++ b/internal/agreement/config.go
@@ -21,8 +21,9 @@
 	DefaultReplaceAfter = 5 * time.Second
 )
 
-// MaxCommandBytes bounds one command.
-const MaxCommandBytes = 1 << 20
+// MaxCommandBytes bounds one command: a team's settings of the greatest size
+// (settings.MaxBytes, 1 MiB) with their envelope.
+const MaxCommandBytes = 1<<20 + 64<<10
 
 // Bounds of replication.
 const (
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -60,6 +60,8 @@
 	Remove(ctx context.Context, incarnation string) error
 }
 
+var _ Log = (*agreement.Node)(nil)
+
 // Config is what a Server is built of.
 type Config struct {
 	// Name and Address are this instance's.
--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/control"
-	"github.com/endivetrack/endivetrack/internal/control/memlog"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/session"
 	"github.com/endivetrack/endivetrack/internal/state"
@@ -48,15 +47,15 @@
 // group is a set of control instances over one in-memory log. Calls are made
 // without a network.
 type group struct {
-	log      *memlog.Group
-	nodes    []*memlog.Node
+	log      *memGroup
+	nodes    []*memNode
 	machines []*state.Machine
 	servers  []*control.Server
 	metrics  tally.TestScope
 }
 
 func startGroup(ctx context.Context, size int) *group {
-	g := &group{log: memlog.NewGroup(), metrics: tally.NewTestScope("", nil)}
+	g := &group{log: newMemGroup(), metrics: tally.NewTestScope("", nil)}
 	for i := range size {
 		machine := state.New()
 		name := fmt.Sprintf("control-%d", i)
--- a/internal/control/memlog/memlog.go
+++ b/internal/control/memlog_test.go
@@ -1,7 +1,4 @@
-// Package memlog is a replicated log in the memory of one process, for tests
-// and for trying a control instance without a data folder. The group's nodes
-// share one log; tests choose the leader and cut nodes off.
-package memlog
+package control_test
 
 import (
 	"context"
@@ -13,21 +10,22 @@
 )
 
 // errCutOff is the result of a read barrier without a quorum.
-var errCutOff = errors.New("memlog: cut off from the group")
+var errCutOff = errors.New("test log: cut off from the group")
 
-// Group is a set of nodes over one log.
-type Group struct {
+// memGroup is a replicated log in memory: a set of nodes over one log, whose
+// leader the test chooses and cuts off.
+type memGroup struct {
 	mu     sync.Mutex
 	log    [][]byte
 	lost   [][]byte // proposed at a leader that was cut off
 	term   uint64
-	leader *Node // the newest leader
-	nodes  []*Node
+	leader *memNode // the newest leader
+	nodes  []*memNode
 }
 
-// Node is one member of a group.
-type Node struct {
-	group   *Group
+// memNode is one member of a group.
+type memNode struct {
+	group   *memGroup
 	member  agreement.Member
 	machine agreement.StateMachine
 
@@ -38,13 +36,13 @@
 	commit  uint64
 }
 
-// NewGroup returns an empty group.
-func NewGroup() *Group { return &Group{} }
+// newMemGroup returns an empty group.
+func newMemGroup() *memGroup { return &memGroup{} }
 
 // Add adds a node. The first one leads.
-func (g *Group) Add(name, address string, machine agreement.StateMachine) *Node {
+func (g *memGroup) Add(name, address string, machine agreement.StateMachine) *memNode {
 	g.mu.Lock()
-	n := &Node{group: g, machine: machine, member: agreement.Member{
+	n := &memNode{group: g, machine: machine, member: agreement.Member{
 		Name: name, Incarnation: name + "-1", Address: address, Voter: true,
 	}}
 	g.nodes = append(g.nodes, n)
@@ -57,7 +55,7 @@
 }
 
 // Elect makes a connected node the leader of a new term.
-func (g *Group) Elect(n *Node) {
+func (g *memGroup) Elect(n *memNode) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.term++
@@ -73,14 +71,14 @@
 }
 
 // Leader returns the leader of the newest term.
-func (g *Group) Leader() *Node {
+func (g *memGroup) Leader() *memNode {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.leader
 }
 
 // IsCut reports whether the node is cut off.
-func (n *Node) IsCut() bool {
+func (n *memNode) IsCut() bool {
 	n.group.mu.Lock()
 	defer n.group.mu.Unlock()
 	return !n.cutAt.IsZero()
@@ -88,7 +86,7 @@
 
 // Cut separates a node from the group. A leader that is cut off goes on
 // believing that it leads.
-func (g *Group) Cut(n *Node) {
+func (g *memGroup) Cut(n *memNode) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if n.cutAt.IsZero() {
@@ -97,7 +95,7 @@
 }
 
 // Heal connects a node again.
-func (g *Group) Heal(n *Node) {
+func (g *memGroup) Heal(n *memNode) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n.cutAt = time.Time{}
@@ -105,7 +103,7 @@
 }
 
 // spread tells all connected nodes of the term and the log.
-func (g *Group) spread() {
+func (g *memGroup) spread() {
 	for _, n := range g.nodes {
 		if !n.cutAt.IsZero() {
 			continue
@@ -121,7 +119,7 @@
 // Propose appends the command and applies it on all connected nodes. On a
 // leader that is cut off the outcome is unknown: the command may be committed
 // by the next leader.
-func (n *Node) Propose(ctx context.Context, command []byte) (agreement.Applied, error) {
+func (n *memNode) Propose(ctx context.Context, command []byte) (agreement.Applied, error) {
 	g := n.group
 	g.mu.Lock()
 	if !n.leads {
@@ -145,7 +143,7 @@
 	return agreement.Applied{Index: index, Result: result}, nil
 }
 
-func (n *Node) notLeader() error {
+func (n *memNode) notLeader() error {
 	e := &agreement.NotLeaderError{}
 	if l := n.group.leader; l != nil && n.cutAt.IsZero() {
 		e.Leader, e.Address = l.member.Name, l.member.Address
@@ -154,7 +152,7 @@
 }
 
 // QuorumContact is now while the leader is connected.
-func (n *Node) QuorumContact() time.Time {
+func (n *memNode) QuorumContact() time.Time {
 	n.group.mu.Lock()
 	defer n.group.mu.Unlock()
 	switch {
@@ -167,7 +165,7 @@
 }
 
 // ReadBarrier returns the end of the log at a connected leader.
-func (n *Node) ReadBarrier(context.Context) (uint64, error) {
+func (n *memNode) ReadBarrier(context.Context) (uint64, error) {
 	n.group.mu.Lock()
 	defer n.group.mu.Unlock()
 	switch {
@@ -180,7 +178,7 @@
 }
 
 // Status returns the node's view.
-func (n *Node) Status() agreement.Status {
+func (n *memNode) Status() agreement.Status {
 	g := n.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -198,12 +196,14 @@
 }
 
 // AddLearner is refused: the group is fixed.
-func (n *Node) AddLearner(context.Context, agreement.Member) error {
+func (n *memNode) AddLearner(context.Context, agreement.Member) error {
 	return agreement.ErrMembershipChange
 }
 
 // Promote is refused: the group is fixed.
-func (n *Node) Promote(context.Context, string, string) error { return agreement.ErrMembershipChange }
+func (n *memNode) Promote(context.Context, string, string) error {
+	return agreement.ErrMembershipChange
+}
 
 // Remove is refused: the group is fixed.
-func (n *Node) Remove(context.Context, string) error { return agreement.ErrMembershipChange }
+func (n *memNode) Remove(context.Context, string) error { return agreement.ErrMembershipChange }
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/control"
-	"github.com/endivetrack/endivetrack/internal/control/memlog"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/process"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
@@ -33,7 +32,7 @@
 	defer env.Close()
 	machine := state.New()
 	server := control.New(control.Config{
-		Name: "control-0", Address: address(0), Log: memlog.NewGroup().Add("control-0", address(0), machine), Machine: machine,
+		Name: "control-0", Address: address(0), Log: newMemGroup().Add("control-0", address(0), machine), Machine: machine,
 		BootstrapOperatorKeys: map[string][]string{team: {peerauth.Digest(operatorKey)}},
 		Timeline:              env.Timeline,
 	})
--- a/internal/state/command/command.go
+++ b/internal/state/command/command.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/agreement"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
-	"github.com/endivetrack/endivetrack/internal/settings"
 	"github.com/endivetrack/endivetrack/internal/state/model"
 )
 
@@ -19,7 +19,7 @@
 // when applied.
 const (
 	MaxNameBytes    = 256
-	MaxCommandBytes = settings.MaxBytes + 64<<10
+	MaxCommandBytes = agreement.MaxCommandBytes
 )
 
 // Result is the outcome of one command. Exactly one field is set.
