--- a/cmd/endivetrack-control/config.go
+++ b/cmd/endivetrack-control/config.go
@@ -40,15 +40,6 @@
 	Address string `toml:"address"`
 }
 
-// agreement returns the configuration of this instance's node.
-func (c *config) agreement() agreement.Config {
-	a := agreement.Config{Name: c.Name, Address: c.Advertise, DataDir: c.DataDir}
-	for _, m := range c.Bootstrap {
-		a.Bootstrap = append(a.Bootstrap, agreement.Member{Name: m.Name, Address: m.Address, Voter: true})
-	}
-	return a
-}
-
 // loadConfig reads and checks a configuration file.
 func loadConfig(file string) (*config, error) {
 	var c config
--- a/cmd/endivetrack-control/run.go
+++ b/cmd/endivetrack-control/run.go
@@ -64,13 +64,6 @@
 		return trace.Wrap(err)
 	}
 	defer env.Close()
-<<<<<<< HEAD
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-=======
->>>>>>> control
 	machine := state.New()
 	node, err := agreement.Start(cfg.agreement(), machine, agreement.NewTwirpTransport(env.Peers), env)
 	if err != nil {
@@ -88,15 +81,6 @@
 		Metrics:               env.Metrics,
 		Timeline:              env.Timeline,
 	})
-<<<<<<< HEAD
-	env.Timeline.Record("started", "incarnation", node.Incarnation())
-	env.Log.Info().Str("incarnation", node.Incarnation()).Msg("control instance started")
-	handler := server.Handler(env, peerauth.Digest(cfg.PeerKey), map[string]http.Handler{agreement.PathPrefix: node.Handler()})
-	return serve(ctx, listener, process.NewServer(handler), server, node)
-}
-
-// serve runs until ctx ends, then lets the calls in progress finish.
-=======
 	env.Timeline.Record("started")
 	handler := server.Handler(env, peerauth.Digest(cfg.PeerKey), map[string]http.Handler{
 		agreement.PathPrefix: node.Handler(),
@@ -108,7 +92,6 @@
 
 // serve runs until ctx ends, then lets the calls in progress finish. A node
 // that stops by itself has met a fatal error, which ends the process.
->>>>>>> control
 func serve(ctx context.Context, l net.Listener, hs *http.Server, server *control.Server, node *agreement.Node) error {
 	loops, stopLoops := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
