--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -158,9 +158,10 @@
 const (
 	handoverPoll    = 20 * time.Millisecond
 	handoverTimeout = 10 * time.Second
-	// addressMargin is how much longer than the time to live of an address
-	// answer callers may still connect: the answer travels and is processed.
-	addressMargin = 250 * time.Millisecond
+	// addressMargin is the part of the time to live of an address answer for
+	// which callers may still connect after it: the answer travels and is
+	// processed.
+	addressMargin = 1.0 / 20
 )
 
 // Run serves on the listener until ctx ends, then stops as planned: callers
@@ -193,7 +194,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.cfg.Limits.DrainTimeoutMS)*time.Millisecond)
 	defer cancel()
 	e.waitUntil(ctx, handoverTimeout, e.shownAsDraining)
-	sleep(ctx, e.cfg.AddressTTL+addressMargin)
+	sleep(ctx, time.Duration(float64(e.cfg.AddressTTL)*(1+addressMargin)))
 	e.waitUntil(ctx, handoverTimeout, e.ownsNothing)
 	e.cfg.Env.Timeline.Record("handed_over")
 	if err := e.server.Shutdown(ctx); err != nil {
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -58,7 +58,7 @@
 max_body_bytes = 4096
 [classes.normal]
 priority = 7
-queue_timeout_ms = 1000
+queue_timeout_ms = 300
 [accounts.one]
 key_sha256 = ["%[2]s"]
 default_class = "normal"
--- a/internal/entry/permit/acquire.go
+++ b/internal/entry/permit/acquire.go
@@ -215,7 +215,7 @@
 func (a *Acquirer) ask(ctx context.Context, view *session.View, key session.ShardKey, w Wanted, wait time.Duration, r *round) *Held {
 	owner, ok := a.owners.Of(view, key)
 	if !ok {
-		r.noOwner++
+		r.lost(w, key)
 		return nil
 	}
 	a.book.use(key)
@@ -228,7 +228,7 @@
 		ExcludeTargets: w.Exclude,
 	})
 	if err != nil {
-		r.noOwner++
+		r.lost(w, key)
 		return nil
 	}
 	r.retryAfter = max(r.retryAfter, time.Duration(answer.GetRetryAfterMs())*time.Millisecond)
@@ -242,11 +242,21 @@
 	case api.AcquireOutcome_ACQUIRE_OUTCOME_NO_TARGET:
 		r.noTarget++
 	default:
-		r.noOwner++
+		r.lost(w, key)
 	}
 	return nil
 }
 
+// lost notes a shard without an owner that answers. Only the first region's
+// shards are worth waiting for; another region may have no instance at all.
+func (r *round) lost(w Wanted, key session.ShardKey) {
+	if key.Region == w.Regions[0] {
+		r.noOwner++
+	} else {
+		r.noTarget++
+	}
+}
+
 // Probe asks for a permit without waiting; nil when none is free.
 func (a *Acquirer) Probe(ctx context.Context, w Wanted) *Held {
 	if a.mayContinue(ctx) != nil {
--- /dev/null
+++ b/internal/stream/sse_test.go
@@ -0,0 +1,119 @@
+package stream
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+)
+
+// readAll decodes all events as text, then the error.
+func readAll(r io.Reader) ([]string, error) {
+	reader := NewReader(r)
+	var out []string
+	for {
+		e, err := reader.Read()
+		if err != nil {
+			return out, err
+		}
+		if e.IsComment {
+			out = append(out, "#"+string(e.Comment))
+			continue
+		}
+		out = append(out, string(e.ID)+"|"+string(e.Name)+"|"+string(e.Data))
+	}
+}
+
+// Guards the wire format: line ends, joined data, comments, unknown fields, and
+// the difference between an end and a cut.
+func TestReader(t *testing.T) {
+	for _, c := range []struct {
+		name, in string
+		want     []string
+		err      error
+	}{
+		{"chunk", "id: 3\ndata: {}\n\n", []string{"3||{}"}, io.EOF},
+		{"carriage returns", "id:3\r\ndata:x\r\n\r\n", []string{"3||x"}, io.EOF},
+		{"comment", ": heartbeat\n\ndata: [DONE]\n\n", []string{"#heartbeat", "||[DONE]"}, io.EOF},
+		{"several data lines", "data: a\ndata: b\n\n", []string{"||a\nb"}, io.EOF},
+		{"error event", "event: error\ndata: {}\n\n", []string{"|error|{}"}, io.EOF},
+		{"unknown field", "retry: 1\ndata: x\n\n", []string{"||x"}, io.EOF},
+		{"id does not carry over", "id: 1\ndata: x\n\ndata: y\n\n", []string{"1||x", "||y"}, io.EOF},
+		{"cut in a line", "id: 1\ndata: x", nil, io.ErrUnexpectedEOF},
+		{"cut in an event", "id: 1\ndata: x\n", nil, io.ErrUnexpectedEOF},
+		{"long line", "data: " + strings.Repeat("x", MaxLineBytes) + "\n\n", nil, ErrTooLong},
+		{"long event", strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 100), nil, ErrTooLong},
+		{"line beyond the buffer", "data: " + strings.Repeat("x", 10_000) + "\n\n", []string{"||" + strings.Repeat("x", 10_000)}, io.EOF},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, r := range []io.Reader{strings.NewReader(c.in), iotest.OneByteReader(strings.NewReader(c.in))} {
+				got, err := readAll(r)
+				assert.Assert(t, errors.Is(err, c.err), "%v", err)
+				assert.DeepEqual(t, got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against panics, unbounded memory and a decoder whose result depends on
+// how the bytes are cut into reads.
+func FuzzReader(f *testing.F) {
+	for _, seed := range []string{
+		"id: 0\ndata: {\"id\":\"g\"}\n\n", ": heartbeat\n\n", "data: [DONE]\n\n", "id: 1\r\ndata: x\r\n\r\n",
+		"event: error\ndata: {\"error\":{}}\n\n", ":\n:\n\n\n", "data\n\n", "id: 9\n", "data: a\ndata: b\n\n: preempted\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		whole, errWhole := readAll(bytes.NewReader(in))
+		bytewise, errBytewise := readAll(iotest.OneByteReader(bytes.NewReader(in)))
+		assert.DeepEqual(t, whole, bytewise)
+		assert.Equal(t, errWhole, errBytewise)
+		for _, e := range whole {
+			assert.Assert(t, len(e) <= 3*MaxLineBytes)
+		}
+	})
+}
+
+func chunkEvent(offset, data string) Event { return Event{ID: []byte(offset), Data: []byte(data)} }
+
+// Guards the classification of events, in the usual form and in others.
+func TestDecoder(t *testing.T) {
+	d := NewDecoder("g1.s.t.u")
+	const tail = `"object":"chat.completion.chunk","model":"m","choices":[{"index":0,"delta":{"content":"x"},"finish_reason":null}]}`
+	for _, c := range []struct {
+		name string
+		ev   Event
+		want Input
+	}{
+		{"usual form", chunkEvent("4", `{"id":"g1.s.t.u",`+tail), Input{Kind: Token, ID: "g1.s.t.u", Offset: 4}},
+		{"other order of keys", chunkEvent("4", `{"model":"m","id":"g1.s.t.u","choices":[{"delta":{}}]}`), Input{Kind: Token, ID: "g1.s.t.u", Offset: 4}},
+		{"foreign", chunkEvent("4", `{"id":"g1.s.t.v",`+tail), Input{Kind: Token, ID: "g1.s.t.v", Offset: 4}},
+		{"longer id", chunkEvent("4", `{"id":"g1.s.t.uu",`+tail), Input{Kind: Token, ID: "g1.s.t.uu", Offset: 4}},
+		{"finish", chunkEvent("4", `{"id":"g1.s.t.u","choices":[{"delta":{},"finish_reason":"stop"}]}`), Input{Kind: Finish, ID: "g1.s.t.u", Offset: 4}},
+		{"text that looks like the field", chunkEvent("4", `{"id":"g1.s.t.u","choices":[{"delta":{"content":"\"finish_reason\":null"},"finish_reason":"stop"}]}`), Input{Kind: Finish, ID: "g1.s.t.u", Offset: 4}},
+		{"no offset", chunkEvent("", `{"id":"g1.s.t.u",`+tail), Input{Kind: Malformed}},
+		{"negative offset", chunkEvent("-1", `{"id":"g1.s.t.u",`+tail), Input{Kind: Malformed}},
+		{"cut body", chunkEvent("4", `{"id":"g1.s.t.u","object":`), Input{Kind: Malformed}},
+		{"done", chunkEvent("", "[DONE]"), Input{Kind: Done}},
+		{"comment", Event{IsComment: true}, Input{Kind: Activity}},
+	} {
+		t.Run(c.name, func(t *testing.T) { assert.DeepEqual(t, d.Input(0, c.ev), c.want) })
+	}
+}
+
+// Guards against generation ids that resolve to the wrong target.
+func TestSplitID(t *testing.T) {
+	id := GenerationID("a.b", "engine.7", "p1~2-00ff")
+	target, unique, ok := SplitID(id, "a.b")
+	assert.Assert(t, ok)
+	assert.Equal(t, target+" "+unique, "engine.7 p1~2-00ff")
+	for _, bad := range []string{"", "g1.a.b.", "g1.a.b.x", "g1.a.b..x", "g1.a.b.x.", "g2.a.b.t.u", "g1.a.b." + strings.Repeat("x", 300) + ".u"} {
+		_, _, ok := SplitID(bad, "a.b")
+		assert.Assert(t, !ok, bad)
+	}
+}
