--- /dev/null
+++ b/cmd/endivetrack-entry/config.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/endivetrack/endivetrack/internal/entry"
+	"github.com/endivetrack/endivetrack/internal/process"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// Defaults and bounds of the configuration.
+const (
+	defaultAddressTTLMS   = 5_000
+	maxAddressTTLMS       = 600_000
+	defaultMaxRequests    = 4096
+	maxMaxRequests        = 1_000_000
+	defaultDrainTimeoutMS = 600_000
+	maxDrainTimeoutMS     = 24 * 3_600_000
+)
+
+// config is the content of an entry instance's configuration file.
+type config struct {
+	process.Config
+	// ControlAddresses are the IP:port of control instances; at least one.
+	ControlAddresses []string `toml:"control_addresses"`
+	// AddressTTLMS is how long callers may keep a list of addresses, in
+	// milliseconds. Default 5000.
+	AddressTTLMS int `toml:"address_ttl_ms"`
+	// Limits bound what the instance takes on.
+	Limits entry.Limits `toml:"limits"`
+}
+
+// loadConfig reads, checks and completes a configuration file.
+func loadConfig(file string) (*config, error) {
+	var c config
+	if err := process.Load(file, &c); err != nil {
+		return nil, err
+	}
+	if err := c.Check(file); err != nil {
+		return nil, err
+	}
+	c.AddressTTLMS = cmp.Or(c.AddressTTLMS, defaultAddressTTLMS)
+	c.Limits.MaxRequests = cmp.Or(c.Limits.MaxRequests, defaultMaxRequests)
+	c.Limits.DrainTimeoutMS = cmp.Or(c.Limits.DrainTimeoutMS, defaultDrainTimeoutMS)
+	return &c, c.check(file)
+}
+
+func (c *config) check(file string) error {
+	if len(c.ControlAddresses) == 0 {
+		return invalid(file, "control_addresses", "[]", "needs at least one address")
+	}
+	for _, a := range c.ControlAddresses {
+		if err := process.CheckAddress(a); err != nil {
+			return invalid(file, "control_addresses", a, err.Error())
+		}
+	}
+	for _, v := range []struct {
+		key        string
+		value, top int
+	}{
+		{"address_ttl_ms", c.AddressTTLMS, maxAddressTTLMS},
+		{"limits.max_requests", c.Limits.MaxRequests, maxMaxRequests},
+		{"limits.drain_timeout_ms", c.Limits.DrainTimeoutMS, maxDrainTimeoutMS},
+	} {
+		if v.value < 1 || v.value > v.top {
+			return invalid(file, v.key, v.value, "must be positive and within its bound")
+		}
+	}
+	return nil
+}
+
+func (c *config) addressTTL() time.Duration { return time.Duration(c.AddressTTLMS) * time.Millisecond }
+
+func invalid(file, key string, value any, rule string) error {
+	return trace.Wrap(resultcode.Newf(resultcode.SettingsInvalid, "%s: key %q: value %q: %s", file, key, fmt.Sprint(value), rule))
+}
--- /dev/null
+++ b/cmd/endivetrack-entry/run.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net"
+	"os"
+	"sync"
+
+	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/controlclient"
+	"github.com/endivetrack/endivetrack/internal/entry"
+	"github.com/endivetrack/endivetrack/internal/entry/command"
+	"github.com/endivetrack/endivetrack/internal/entry/permit"
+	"github.com/endivetrack/endivetrack/internal/owner"
+	"github.com/endivetrack/endivetrack/internal/process"
+	"github.com/endivetrack/endivetrack/internal/session"
+	"github.com/endivetrack/endivetrack/internal/stream"
+)
+
+type runCommand struct {
+	config string
+}
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "run an entry instance" }
+func (*runCommand) Usage() string    { return "run -config FILE\n" }
+
+// SetFlags defines the command's flags.
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", "entry.toml", "configuration file")
+}
+
+// Execute runs until SIGTERM and then stops as planned.
+func (c *runCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	cfg, err := loadConfig(c.config)
+	if err != nil {
+		return fail(err)
+	}
+	ctx, cancel := process.SignalContext()
+	defer cancel()
+	if err := run(ctx, cfg); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// run serves until ctx ends. The session outlives the planned stop, which hands
+// the shards over, and is closed last.
+func run(ctx context.Context, cfg *config) error {
+	env, err := process.NewEnv(cfg.Config, os.Stderr)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer env.Close()
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	source := session.New(session.Config{
+		Instance: &api.Instance{
+			Name: cfg.Name, Incarnation: stream.NewUnique(), Region: cfg.Region,
+			FailureDomain: cfg.FailureDomain, Address: cfg.Advertise,
+		},
+		ControlAddresses: cfg.ControlAddresses,
+		Peers:            env.Peers, Logger: env.Log, Metrics: env.Metrics, Timeline: env.Timeline,
+	})
+	sessionCtx, closeSession := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	loops.Go(func() { source.Run(sessionCtx) })
+	defer loops.Wait()
+	defer closeSession()
+
+	control := controlclient.New(source, cfg.ControlAddresses, env.Peers)
+	shards := owner.New(owner.Config{Source: source, Env: env, Control: control})
+	shards.Start()
+	defer shards.Stop()
+	instance := entry.New(entry.Config{
+		Process: cfg.Config, Limits: cfg.Limits, AddressTTL: cfg.addressTTL(),
+		Source: source, Control: control, Owner: shards, Env: env,
+		Timing: command.DefaultTiming, PermitTiming: permit.DefaultTiming,
+	})
+	env.Timeline.Record("started")
+	return instance.Run(ctx, listener)
+}
