--- a/bench/decisions/main.go
+++ b/bench/decisions/main.go
@@ -17,22 +17,35 @@
 // contender is a policy under measurement.
 type contender struct {
 	name string
-	make func(p workload.Profile, m EngineModel, seed uint64) policy
+	make func(r run) policy
+}
+
+// run is one simulation's environment.
+type run struct {
+	profile   workload.Profile
+	model     EngineModel
+	seed      uint64
+	instances int // entry instances that run a baseline side by side
+}
+
+func (r run) baseline(make func() baseline.Policy) policy {
+	return newSpread(r.instances, r.profile.Targets, r.seed, make)
 }
 
 var contenders = []contender{
-	{"endivetrack", func(p workload.Profile, _ EngineModel, _ uint64) policy { return newOurs(p) }},
-	{"round robin", func(p workload.Profile, _ EngineModel, seed uint64) policy {
-		return newSimple(&baseline.RoundRobin{}, p.Targets, seed)
+	{"endivetrack", func(r run) policy { return newOurs(r.profile) }},
+	{"round robin", func(r run) policy {
+		return r.baseline(func() baseline.Policy { return &baseline.RoundRobin{} })
 	}},
-	{"least outstanding", func(p workload.Profile, _ EngineModel, seed uint64) policy {
-		return newSimple(baseline.LeastOutstanding{}, p.Targets, seed)
+	{"least outstanding", func(r run) policy {
+		return r.baseline(func() baseline.Policy { return baseline.LeastOutstanding{} })
 	}},
-	{"two choices", func(p workload.Profile, _ EngineModel, seed uint64) policy {
-		return newSimple(baseline.TwoChoices{}, p.Targets, seed)
+	{"two choices", func(r run) policy {
+		return r.baseline(func() baseline.Policy { return baseline.TwoChoices{} })
 	}},
-	{"fixed concurrency", func(p workload.Profile, m EngineModel, seed uint64) policy {
-		return newSimple(baseline.FixedConcurrency{Limit: capacityOf(p, m).concurrency}, p.Targets, seed)
+	{"fixed concurrency", func(r run) policy {
+		limit := max(1, capacityOf(r.profile, r.model).concurrency/r.instances)
+		return r.baseline(func() baseline.Policy { return baseline.FixedConcurrency{Limit: limit} })
 	}},
 }
 
@@ -74,13 +87,19 @@
 func main() {
 	seeds := flag.Int("seeds", 5, "number of seeds, from 1")
 	workers := flag.Int("workers", max(1, runtime.NumCPU()/3), "simulations run at the same time")
+	instances := flag.Int("instances", 1, "entry instances that run the baselines side by side; 1 gives them exact counts")
+	quick := flag.Bool("quick", false, "only the loads that the goals name")
 	flag.Parse()
 	profiles := workload.Profiles()
 	loads := []int{50, 70, 85, 100, 130} // percent of capacity
-	results := measure(profiles, loads, *seeds, *workers)
+	if *quick {
+		loads = []int{85, 130}
+	}
+	results := measure(profiles, loads, *seeds, *workers, *instances)
 	for i, p := range profiles {
 		c := capacityOf(p, defaultModel)
-		fmt.Printf("\n%s: %d targets, capacity %.1f requests/s at %d per target, %d seeds\n", p.Name, p.Targets, c.rate*float64(p.Targets), c.concurrency, *seeds)
+		fmt.Printf("\n%s: %d targets, capacity %.1f requests/s at %d per target, %d seeds, baselines at %d instances\n",
+			p.Name, p.Targets, c.rate*float64(p.Targets), c.concurrency, *seeds, *instances)
 		for l, load := range loads {
 			printLoad(load, func(policy int) Result { return results[runKey{i, l, policy}] })
 		}
@@ -89,7 +108,7 @@
 }
 
 // measure returns the mean result over the seeds of every combination.
-func measure(profiles []workload.Profile, loads []int, seeds, workers int) map[runKey]Result {
+func measure(profiles []workload.Profile, loads []int, seeds, workers, instances int) map[runKey]Result {
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	slots := make(chan struct{}, workers)
@@ -103,7 +122,8 @@
 				for seed := range seeds {
 					slots <- struct{}{}
 					group.Go(func() {
-						r := simulate(p, defaultModel, uint64(seed+1), rate*float64(load)/100, contenders[c].make(p, defaultModel, uint64(seed+1)))
+						e := run{p, defaultModel, uint64(seed + 1), instances}
+						r := simulate(p, defaultModel, e.seed, rate*float64(load)/100, contenders[c].make(e))
 						mu.Lock()
 						all[key][seed] = r
 						mu.Unlock()
--- a/bench/decisions/policy.go
+++ b/bench/decisions/policy.go
@@ -72,6 +72,56 @@
 }
 func (s *simple) waiting() int { return len(s.queue) }
 
+// spread runs one baseline per entry instance: each knows only what it sent
+// itself, as instances do that share no owner. Reported load is known to all.
+type spread struct {
+	parts []*simple
+	rng   *rand.Rand
+	part  map[int]int // by request
+}
+
+func newSpread(instances, targets int, seed uint64, make func() baseline.Policy) *spread {
+	s := &spread{rng: rand.New(rand.NewPCG(seed, 3)), part: map[int]int{}}
+	for i := range instances {
+		s.parts = append(s.parts, newSimple(make(), targets, seed+uint64(i)<<32))
+	}
+	return s
+}
+
+func (s *spread) arrive(now time.Duration, id int, a workload.Arrival) {
+	i := s.rng.IntN(len(s.parts))
+	s.part[id] = i
+	s.parts[i].arrive(now, id, a)
+}
+
+func (s *spread) schedule(now time.Duration, dispatch func(id, target int)) (dropped []int) {
+	for _, p := range s.parts {
+		dropped = append(dropped, p.schedule(now, dispatch)...)
+	}
+	return dropped
+}
+
+func (s *spread) finished(now time.Duration, target int, j *job) {
+	s.parts[s.part[j.id]].finished(now, target, j)
+	delete(s.part, j.id)
+}
+
+func (s *spread) announce(now time.Duration, target int, e *engine) {
+	for _, p := range s.parts {
+		p.announce(now, target, e)
+	}
+}
+
+func (s *spread) waiting() (n int) {
+	for _, p := range s.parts {
+		n += p.waiting()
+	}
+	return n
+}
+
+func (s *spread) started(*job)                       {}
+func (s *spread) report(time.Duration, map[*job]int) {}
+
 // ours runs the system's own decisions through the owner's state machine.
 type ours struct {
 	shard   *scheduler.Shard
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -45,10 +45,10 @@
 	variance [forecastSteps]float64
 }
 
-// Add takes a sequence into the forecast.
-func (f *Forecast) Add(s Sequence) {
+// ForecastOf returns the forecast of a single sequence.
+func ForecastOf(s Sequence) *Forecast {
+	f := &Forecast{}
 	for i := range forecastSteps {
-		p := s.Residual.Survival(s.Produced, forecastBounds[i])
 		growth := forecastBounds[i+1]
 		if s.Max > 0 {
 			left := max(0, s.Max-s.Produced)
@@ -57,29 +57,35 @@
 			}
 			growth = min(growth, left)
 		}
+		p := s.Residual.Survival(s.Produced, forecastBounds[i])
 		tokens := float64(s.Prompt + s.Produced + growth)
-		f.mean[i] += p * tokens
-		f.variance[i] += p * (1 - p) * tokens * tokens
+		f.mean[i] = p * tokens
+		f.variance[i] = p * (1 - p) * tokens * tokens
+	}
+	return f
+}
+
+// Add takes further sequences into the forecast.
+func (f *Forecast) Add(other *Forecast) {
+	for i := range forecastSteps {
+		f.mean[i] += other.mean[i]
+		f.variance[i] += other.variance[i]
 	}
 }
 
 // Peak returns the largest predicted resident count: the mean plus margin
 // standard deviations.
-func (f *Forecast) Peak(margin float64) float64 {
+func (f *Forecast) Peak(margin float64) float64 { return f.PeakWith(&Forecast{}, margin) }
+
+// PeakWith returns the peak with further sequences.
+func (f *Forecast) PeakWith(other *Forecast, margin float64) float64 {
 	peak := 0.0
 	for i := range forecastSteps {
-		peak = max(peak, f.mean[i]+margin*math.Sqrt(f.variance[i]))
+		peak = max(peak, f.mean[i]+other.mean[i]+margin*math.Sqrt(f.variance[i]+other.variance[i]))
 	}
 	return peak
 }
 
-// PeakWith returns the peak with a further sequence.
-func (f *Forecast) PeakWith(s Sequence, margin float64) float64 {
-	with := *f
-	with.Add(s)
-	return with.Peak(margin)
-}
-
 // Bounds of the risk margin, in standard deviations.
 const (
 	startMargin = 1.0
--- a/internal/admission/lengths.go
+++ b/internal/admission/lengths.go
@@ -44,7 +44,23 @@
 	return b
 }()
 
+// bucketTable holds the buckets of common lengths; prediction looks up dozens
+// of buckets per decision.
+var bucketTable = func() (t [1 << 16]uint8) {
+	for i := range t {
+		t[i] = uint8(searchBucket(i))
+	}
+	return t
+}()
+
 func bucketOf(length int) int {
+	if uint(length) < uint(len(bucketTable)) {
+		return int(bucketTable[length])
+	}
+	return searchBucket(length)
+}
+
+func searchBucket(length int) int {
 	return max(0, sort.SearchInts(bucketBounds[:], length+1)-1)
 }
 
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -15,15 +14,24 @@
 // with long prompts would starve.
 const overtakenPatience = time.Second
 
-// pass is one run of the grant loop over the queue. Grants only use capacity
-// up, so a request that found no target stays without one for the whole pass,
-// and so do larger requests of the same class.
-type pass struct {
-	s        *Shard
-	now      time.Time
-	failed   map[failedKey]uint32 // smallest prompt that found no target
-	unplaced map[Ticket]bool      // failed requests with excluded targets
-	reserved map[string]Ticket    // targets kept free
+// memoTTL is how long failed attempts are remembered while no target frees
+// capacity; running outputs and their forecasts move on meanwhile.
+const memoTTL = 100 * time.Millisecond
+
+// memo remembers which requests found no target, since most passes follow one
+// release and can help only few of the waiting requests. A request that found
+// none is tried again, and so are larger requests of the same class, only at
+// targets that freed capacity since.
+type memo struct {
+	at      time.Time
+	failed  failures // at all targets
+	retried failures // also at the targets that freed capacity since
+}
+
+// failures is a set of requests that found no target.
+type failures struct {
+	smallest map[failedKey]uint32 // smallest prompt that found none
+	tickets  map[Ticket]bool      // requests with excluded or reserved targets
 }
 
 type failedKey struct {
@@ -31,23 +39,8 @@
 	maxTokens             uint32
 }
 
-func (s *Shard) newPass(now time.Time) *pass {
-	return &pass{s: s, now: now, failed: map[failedKey]uint32{}, unplaced: map[Ticket]bool{}, reserved: map[string]Ticket{}}
-}
-
-// next returns the first request in the order of service that a target can
-// run, and the target; nil when there is none.
-func (p *pass) next() (*admission.Item[*waiting], *target) {
-	for it := range p.s.queue.All() {
-		if p.hasFailed(it.Value) {
-			continue
-		}
-		if t := p.place(it.Value); t != nil {
-			return it, t
-		}
-		p.fail(it.Value)
-	}
-	return nil, nil
+func newFailures() failures {
+	return failures{smallest: map[failedKey]uint32{}, tickets: map[Ticket]bool{}}
 }
 
 func keyOfFailed(r Request) failedKey {
@@ -55,29 +48,98 @@
 	return failedKey{c.GetAccount(), c.GetModel(), c.GetClass(), c.GetMaxTokens()}
 }
 
-func (p *pass) hasFailed(w *waiting) bool {
+func (f *failures) has(w *waiting) bool {
 	if len(w.request.Exclude) > 0 || w.reserved != "" {
-		return p.unplaced[w.ticket]
+		return f.tickets[w.ticket]
 	}
-	prompt, ok := p.failed[keyOfFailed(w.request)]
+	prompt, ok := f.smallest[keyOfFailed(w.request)]
 	return ok && w.request.Class.GetPromptTokens() >= prompt
 }
 
-func (p *pass) fail(w *waiting) {
-	p.unplaced[w.ticket] = true
-	if len(w.request.Exclude) == 0 && w.reserved == "" {
-		p.failed[keyOfFailed(w.request)] = w.request.Class.GetPromptTokens()
+func (f *failures) add(w *waiting) {
+	if len(w.request.Exclude) > 0 || w.reserved != "" {
+		f.tickets[w.ticket] = true
+	} else {
+		f.smallest[keyOfFailed(w.request)] = w.request.Class.GetPromptTokens()
+	}
+}
+
+// pass is one run of the grant loop over the queue. Grants only use capacity
+// up, so a request that found no target stays without one for the whole pass.
+type pass struct {
+	s        *Shard
+	now      time.Time
+	full     bool      // all targets are tried for all requests
+	freed    []*target // tried for requests that failed before
+	loads    map[string]float64
+	reserved map[string]Ticket // targets kept free
+}
+
+// free notes that a target may have capacity that it did not have before.
+func (s *Shard) free(t *target) {
+	t.freed = true
+	if s.memo != nil {
+		s.memo.retried = newFailures()
+	}
+}
+
+func (s *Shard) newPass(now time.Time) *pass {
+	p := &pass{s: s, now: now, reserved: map[string]Ticket{}, loads: s.domainLoads(now)}
+	if s.memo == nil || now.Sub(s.memo.at) >= memoTTL {
+		p.full = true
+		s.memo = &memo{at: now, failed: newFailures(), retried: newFailures()}
+	} else {
+		p.keepReservations()
+	}
+	for _, t := range s.targets {
+		if p.full {
+			t.freed = false
+		} else if t.freed {
+			p.freed = append(p.freed, t)
+		}
+	}
+	return p
+}
+
+// keepReservations restores the reservations of the last full pass.
+func (p *pass) keepReservations() {
+	for ticket := range p.s.memo.failed.tickets {
+		if it := p.s.tickets[ticket]; it != nil && it.Value.reserved != "" {
+			p.reserved[it.Value.reserved] = ticket
+		}
 	}
 }
 
-// place chooses a target for the request, or keeps one free for it.
-func (p *pass) place(w *waiting) *target {
-	fitting, tight := p.s.candidates(w.request, w.short, p.now)
-	fitting = slices.DeleteFunc(fitting, func(c *routing.Candidate) bool { return p.keptFrom(w, c.Name) })
+// next returns the first request in the order of service that a target can
+// run, and the target; nil when there is none.
+func (p *pass) next() (*admission.Item[*waiting], *target) {
+	for it := range p.s.queue.All() {
+		w := it.Value
+		switch m := p.s.memo; {
+		case !m.failed.has(w):
+			if t := p.place(w, nil); t != nil {
+				return it, t
+			}
+			m.failed.add(w)
+			m.retried.add(w)
+		case len(p.freed) > 0 && !m.retried.has(w):
+			if t := p.place(w, p.freed); t != nil {
+				return it, t
+			}
+			m.retried.add(w)
+		}
+	}
+	return nil, nil
+}
+
+// place chooses one of the targets for the request, or keeps one free for it.
+// No targets means all.
+func (p *pass) place(w *waiting, only []*target) *target {
+	fitting, tight := p.candidates(w, only)
 	if c := p.s.router.Pick(p.s.routingRequest(w.request, p.now), fitting); c != nil {
 		return p.s.targets[c.Name]
 	}
-	if len(tight) > 0 && p.now.Sub(w.request.Arrived) > overtakenPatience {
+	if len(tight) > 0 && p.full && p.now.Sub(w.request.Arrived) > overtakenPatience {
 		p.reserve(w, tight)
 	}
 	return nil
@@ -114,18 +176,21 @@
 
 // candidates returns the targets that can run the request now, and those that
 // have concurrency left but not the memory.
-func (s *Shard) candidates(r Request, short bool, now time.Time) (fitting, tight []*routing.Candidate) {
-	q := s.routingRequest(r, now)
-	loads := s.domainLoads(now)
-	for _, t := range s.targets {
-		c := s.candidate(t, short, now)
-		if c == nil || !s.router.Keep(q, c) || c.InFlight >= c.Limit {
-			continue
+func (p *pass) candidates(w *waiting, only []*target) (fitting, tight []*routing.Candidate) {
+	q := p.s.routingRequest(w.request, p.now)
+	var forecast *admission.Forecast
+	try := func(t *target) {
+		c := p.s.candidate(t, w.short, p.now)
+		if c == nil || c.InFlight >= c.Limit || !p.s.router.Keep(q, c) || p.keptFrom(w, t.name) {
+			return
 		}
-		c.DomainLoad = loads[c.FailureDomain]
-		c.Prefix = t.prefix.Cached(r.Class.GetPrefixHashes())
+		c.DomainLoad = p.loads[c.FailureDomain]
+		c.Prefix = t.prefix.Cached(w.request.Class.GetPrefixHashes())
 		if c.Memory > 0 {
-			c.Peak = s.peakWith(t, r.Class, now)
+			if forecast == nil {
+				forecast = p.s.requestForecast(w.request.Class)
+			}
+			c.Peak = p.s.peakWith(t, w.request, forecast, p.now)
 		}
 		if (routing.HasCapacity{}).Keep(q, c) {
 			fitting = append(fitting, c)
@@ -133,6 +198,15 @@
 			tight = append(tight, c)
 		}
 	}
+	if only != nil {
+		for _, t := range only {
+			try(t)
+		}
+		return fitting, tight
+	}
+	for _, t := range p.s.targets {
+		try(t)
+	}
 	return fitting, tight
 }
 
@@ -184,42 +258,49 @@
 		s.totals.IdleSeconds += s.idle.idle * seconds
 		s.totals.CapacitySeconds += s.idle.capacity * seconds
 	}
-	s.idle = idleRate{since: now}
+	s.idle.since = now
 }
 
 // observeWaiting notes which targets keep requests waiting, for the control of
 // their limits, and how much of them idles meanwhile.
-func (s *Shard) observeWaiting(now time.Time) {
+func (s *Shard) observeWaiting(p *pass) {
 	if s.queue.Len() == 0 {
+		s.idle = idleRate{since: p.now}
 		return
 	}
+	if !p.full {
+		return
+	}
+	s.idle = idleRate{since: p.now}
 	seen := map[string]bool{} // one request per model stands for all
 	counted := map[string]bool{}
 	for it := range s.queue.All() {
-		w := it.Value
-		if model := w.request.Class.GetModel(); seen[model] {
-			continue
-		} else {
+		if model := it.Value.request.Class.GetModel(); !seen[model] {
 			seen[model] = true
+			s.observeModel(it.Value, p.now, counted)
 		}
-		q := s.routingRequest(Request{Class: w.request.Class}, now)
-		for _, t := range s.targets {
-			c := s.candidate(t, w.short, now)
-			if c == nil || counted[t.name] || !s.router.Keep(q, c) {
-				continue
-			}
-			counted[t.name] = true
-			s.idle.capacity++
-			if c.InFlight >= c.Limit {
-				t.sample.Wanted = true
-				continue
-			}
-			if c.Memory > 0 {
-				c.Peak = s.peakWith(t, w.request.Class, now)
-			}
-			if (routing.HasCapacity{}).Keep(q, c) || len(t.permits) == 0 {
-				s.idle.idle += 1 - float64(c.InFlight)/float64(c.Limit)
-			}
+	}
+}
+
+func (s *Shard) observeModel(w *waiting, now time.Time, counted map[string]bool) {
+	q := s.routingRequest(Request{Class: w.request.Class}, now)
+	forecast := s.requestForecast(w.request.Class)
+	for _, t := range s.targets {
+		c := s.candidate(t, w.short, now)
+		if c == nil || counted[t.name] || !s.router.Keep(q, c) {
+			continue
+		}
+		counted[t.name] = true
+		s.idle.capacity++
+		if c.InFlight >= c.Limit {
+			t.sample.Wanted = true
+			continue
+		}
+		if c.Memory > 0 {
+			c.Peak = s.peakWith(t, w.request, forecast, now)
+		}
+		if (routing.HasCapacity{}).Keep(q, c) {
+			s.idle.idle += 1 - float64(c.InFlight)/float64(c.Limit)
 		}
 	}
 }
--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -52,7 +52,7 @@
 	}
 	t.sample.InFlight = max(t.sample.InFlight, len(t.permits))
 	if !t.forecastAt.IsZero() {
-		t.forecast.Add(s.sequence(p, now))
+		t.forecast.Add(admission.ForecastOf(s.sequence(p, now)))
 	}
 }
 
@@ -64,6 +64,7 @@
 		t.shorts--
 	}
 	t.forecastAt = time.Time{}
+	s.free(t)
 	if len(t.permits) == 0 {
 		t.idleSince = now
 	}
@@ -212,6 +213,8 @@
 		return len(t.permits) == 0 && now.Sub(t.seen) > forgetAfter
 	})
 	for _, t := range s.targets {
-		t.control(now, s.targetGap())
+		if t.control(now, s.targetGap()) {
+			s.free(t)
+		}
 	}
 }
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -55,6 +55,7 @@
 	router    *routing.Router
 	shortSeen time.Time // last arrival of a request of a short class
 
+	memo   *memo
 	totals Totals
 	idle   idleRate
 }
@@ -99,6 +100,7 @@
 // Configure puts new settings in force.
 func (s *Shard) Configure(team *settings.Team, service string) {
 	s.team, s.service = team, team.Services[service]
+	s.memo = nil
 }
 
 // Totals returns the counts so far.
@@ -183,15 +185,13 @@
 		s.queue.Serve(it)
 		out = append(out, s.grant(it.Value, t, now))
 	}
-	for it := range s.queue.All() {
+	for ticket, it := range s.tickets {
 		if !now.Before(it.Value.request.Until) {
-			out = append(out, Decision{Ticket: it.Value.ticket, Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_FULL})
+			s.Cancel(ticket)
+			out = append(out, Decision{Ticket: ticket, Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_FULL})
 		}
 	}
-	for _, d := range out {
-		s.Cancel(d.Ticket)
-	}
-	s.observeWaiting(now)
+	s.observeWaiting(p)
 	return out
 }
 
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -52,6 +52,8 @@
 	forecast   admission.Forecast
 	forecastAt time.Time // zero: must be rebuilt
 
+	freed bool // capacity was freed since the last full pass
+
 	sample    admission.Sample // of the control interval
 	gapTokens float64          // tokens behind the sample's gap
 	interval  time.Time        // start of the control interval
@@ -61,6 +63,9 @@
 func (s *Shard) Announce(a *api.Announcement, now time.Time) {
 	t := s.target(a.GetTarget(), now)
 	last := t.announcement
+	if last == nil || !s.alive(t, now) || last.GetMaxRunning() != a.GetMaxRunning() || !slices.Equal(last.GetModels(), a.GetModels()) {
+		s.free(t)
+	}
 	t.announcement, t.seen = a, now
 	switch {
 	case last == nil:
@@ -150,26 +155,31 @@
 	return limit
 }
 
-// peakWith predicts the peak of the target's resident tokens if it also ran a
-// request of the class.
-func (s *Shard) peakWith(t *target, c *api.RequestClass, now time.Time) float64 {
+// peakWith predicts the peak of the target's resident tokens if it also ran
+// the request.
+func (s *Shard) peakWith(t *target, r Request, forecast *admission.Forecast, now time.Time) float64 {
 	s.refreshForecast(t, now)
-	peak := t.forecast.PeakWith(admission.Sequence{
-		Prompt: int(c.GetPromptTokens()), Max: s.maxOutput(c), Residual: s.lengths.Curve(lengthKey(c)),
-	}, t.margin.Value())
+	peak := t.forecast.PeakWith(forecast, t.margin.Value())
 	if s.trustsReport(t, now) {
-		peak = max(peak, float64(t.announcement.GetReportedTokens()+c.GetPromptTokens()))
+		peak = max(peak, float64(t.announcement.GetReportedTokens()+r.Class.GetPromptTokens()))
 	}
 	return peak
 }
 
+// requestForecast is the forecast of a request that does not run yet.
+func (s *Shard) requestForecast(c *api.RequestClass) *admission.Forecast {
+	return admission.ForecastOf(admission.Sequence{
+		Prompt: int(c.GetPromptTokens()), Max: s.maxOutput(c), Residual: s.lengths.Curve(lengthKey(c)),
+	})
+}
+
 func (s *Shard) refreshForecast(t *target, now time.Time) {
 	if !t.forecastAt.IsZero() && now.Sub(t.forecastAt) < forecastTTL {
 		return
 	}
 	t.forecast, t.forecastAt = admission.Forecast{}, now
 	for _, id := range slices.Sorted(maps.Keys(t.permits)) { // a fixed order of summation
-		t.forecast.Add(s.sequence(t.permits[id], now))
+		t.forecast.Add(admission.ForecastOf(s.sequence(t.permits[id], now)))
 	}
 }
 
@@ -188,14 +198,17 @@
 	return t.announcement != nil && now.Sub(t.seen) <= routing.TargetLease && !t.announcement.GetLeaving()
 }
 
-// control ends the target's control interval and adjusts its limit.
-func (t *target) control(now time.Time, targetGap time.Duration) {
+// control ends the target's control interval and adjusts its limit. It returns
+// true when the limit grew.
+func (t *target) control(now time.Time, targetGap time.Duration) bool {
 	if now.Sub(t.interval) < admission.ControlInterval || t.limit == nil {
-		return
+		return false
 	}
+	before := t.limit.Allowed()
 	t.limit.Observe(t.sample, targetGap)
 	t.margin.Observe(t.sample.Preempted)
 	t.sample, t.gapTokens, t.interval = admission.Sample{InFlight: len(t.permits)}, 0, now
+	return t.limit.Allowed() > before
 }
 
 // Targets returns the announcement of every target that is alive, by name.
