--- a/bench/proxy/proxy.go
+++ b/bench/proxy/proxy.go
@@ -80,6 +80,9 @@
 	mux.HandleFunc("GET /v1/addresses", p.serveAddresses)
 	mux.HandleFunc("POST /v1/targets/announce", p.serveAnnounce)
 	mux.HandleFunc("POST /v1/chat/completions", p.serveGenerate)
+	mux.HandleFunc("GET /v1/generations/{id}", func(w http.ResponseWriter, _ *http.Request) {
+		refuse(w, http.StatusNotFound, 1009, "UNKNOWN_GENERATION", "not_run")
+	})
 	mux.HandleFunc("/v1/services/{service}/", p.serveCall)
 	mux.HandleFunc("POST /bench/domain", p.serveDomain)
 	return mux
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -52,16 +52,19 @@
   local plain model engines
   plain=$(value_of "$load" plain_service)
   model=$(value_of "$load" model)
+  # A proxy of the benchmark serves all regions alone.
+  local alone=
+  [ "$(instances "$dir" entry | wc -l)" -gt 1 ] || alone=$(addresses "$dir" entry)
   engines=$(instances "$dir" engine | head -n 1 | sed 's/-[0-9]* .*//')
   while read -r name region domain address; do
     n=$((n + 1))
     start_process "$dir" "$name" "$bin/standin-engine" -team "$deployment" -service "$engines" -target "$name" \
-      -region "$region" -failure-domain "$domain" -listen "$address" -entries "$(addresses "$dir" entry "$region")" \
+      -region "$region" -failure-domain "$domain" -listen "$address" -entries "${alone:-$(addresses "$dir" entry "$region")}" \
       -key-file "$dir/keys/target-$engines" -models "$model" -seed $((seed * 1000 + n)) "$@"
   done < <(instances "$dir" engine)
   while read -r name region domain address; do
     start_process "$dir" "$name" "$bin/standin-service" -team "$deployment" -service "$plain" -target "$name" \
-      -region "$region" -failure-domain "$domain" -listen "$address" -entries "$(addresses "$dir" entry "$region")" \
+      -region "$region" -failure-domain "$domain" -listen "$address" -entries "${alone:-$(addresses "$dir" entry "$region")}" \
       -key-file "$dir/keys/target-$plain" -journal "$dir/data/$name.journal" -seed "$seed"
   done < <(instances "$dir" service)
 }
--- a/standin/engine/announcing.go
+++ b/standin/engine/announcing.go
@@ -37,7 +37,9 @@
 
 // announcesCold is true only for the cold start: an engine that turns cold
 // later does so without warning.
-func (e *Engine) announcesCold() bool { return e.batch.cold && len(e.record.Cold) == 1 }
+func (e *Engine) announcesCold() bool {
+	return e.batch.cold && !e.config.WarmStart && len(e.record.Cold) == 1
+}
 
 // laggedLoad notes the present load and returns the one that LoadReportLag ago
 // was the newest.
--- a/standin/engine/batch_test.go
+++ b/standin/engine/batch_test.go
@@ -121,6 +121,25 @@
 	assert.Equal(t, b.cold, false, "warm after ColdFor")
 }
 
+// Guards against an engine that blames callers for what ran when it turned cold
+// without warning: only work that comes later can push it over.
+func TestTurningColdCountsOnlyLaterWork(t *testing.T) {
+	c := DefaultConfig()
+	c.WarmStart, c.ColdFor, c.ColdTokens = true, time.Minute, 0
+	b := newBatch(c)
+	assert.Equal(t, b.cold, false)
+	for i := range 4 * c.ColdBearable {
+		b.add(newSequence(i, fmt.Sprintf("lot %d", i), 200, 5))
+	}
+	b.step()
+	b.turnCold(0)
+	assert.Equal(t, b.step().overload, false)
+	for i := range c.ColdBearable + 1 {
+		b.add(newSequence(100+i, fmt.Sprintf("lot %d", i), 200, 5))
+	}
+	assert.Equal(t, b.step().overload, true)
+}
+
 // Guards against a cache without effect: a shared prefix is not computed again.
 func TestCachedPrefixShortensPrefill(t *testing.T) {
 	c := warmConfig()
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -29,6 +29,8 @@
 	StepPerKiloToken time.Duration
 	PrefillPerToken  time.Duration
 
+	// WarmStart leaves out the cold start; the engine can turn cold later.
+	WarmStart bool
 	// Cold ends when ColdTokens have been served or ColdFor has passed.
 	ColdFor      time.Duration
 	ColdTokens   int
--- a/standin/service/lifecycle.go
+++ b/standin/service/lifecycle.go
@@ -15,6 +15,10 @@
 func (s *Service) Snapshot() Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.announcer != nil {
+		s.record.Announced, s.record.AnnounceFailed = s.announcer.Counts()
+		s.record.AnnounceError = s.announcer.LastError()
+	}
 	data, err := json.Marshal(s.record)
 	if err != nil {
 		panic(err) // a Record always encodes
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -93,6 +93,10 @@
 	PerRequestID map[string]int `json:"per_request_id"`
 	PeakInFlight int            `json:"peak_in_flight"`
 	BusySeconds  float64        `json:"busy_seconds"`
+
+	Announced      int64  `json:"announcements"`
+	AnnounceFailed int64  `json:"announcements_failed"`
+	AnnounceError  string `json:"announcement_error,omitempty"`
 }
 
 // Hooks connect a service to the process that hosts it.
