--- a/standin/loadgen/direct.go
+++ b/standin/loadgen/direct.go
@@ -304,6 +304,10 @@
 	if err != nil && !errors.As(err, &ce) {
 		s.cuts++
 	}
+	if err == nil {
+		// Reading to the end lets the connection be used again.
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxLineBytes))
+	}
 	return err
 }
 
--- a/standin/verify/system_test.go
+++ b/standin/verify/system_test.go
@@ -1,9 +1,11 @@
 package verify
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -39,7 +41,14 @@
 	mux.HandleFunc("/v1/addresses", func(w http.ResponseWriter, r *http.Request) {
 		_ = json.NewEncoder(w).Encode(map[string]any{"ttl_ms": 5000, "addresses": []map[string]string{{"address": r.Host}}})
 	})
-	mux.Handle("/v1/chat/completions", engines)
+	mux.HandleFunc("/v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
+		// The server closes a request's body when the answer starts, which
+		// breaks a proxy that has not read it to its end.
+		body, err := io.ReadAll(r.Body)
+		assert.Check(t, err)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		engines.ServeHTTP(w, r)
+	})
 	mux.HandleFunc("/v1/services/core/", func(w http.ResponseWriter, r *http.Request) {
 		if twice && r.Method == http.MethodPost {
 			again := r.Clone(r.Context())
