--- a/scripts/render.sh
+++ b/scripts/render.sh
@@ -33,7 +33,7 @@
   $1 == "engine" && ++g > engines {next}
   {split($5, a, ":"); print $1, $2, $3, $4, a[1] ":" a[2] + offset}' "$source_dir/instances.txt" >"$dir/instances.txt"
 
-members=$(awk '$1 == "control" {printf "\n[[bootstrap_members]]\nname = \"%s\"\naddress = \"%s\"\n", $2, $5}' "$dir/instances.txt")
+members=$(awk '$1 == "control" {printf "\n[[bootstrap]]\nname = \"%s\"\naddress = \"%s\"\n", $2, $5}' "$dir/instances.txt")
 controls=$(awk '$1 == "control" {printf "%s\"%s\"", sep, $5; sep = ", "}' "$dir/instances.txt")
 
 while read -r kind name region domain address; do
