--- a/standin/cluster/operate.go
+++ b/standin/cluster/operate.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/operator"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
 // Operator opens the control group as an operator does.
@@ -56,3 +60,39 @@
 
 // Revision returns the newest accepted revision of the team's settings.
 func (c *Cluster) Revision() uint64 { return c.revision }
+
+// SetAccepted changes whether a failure domain is in service and returns once
+// the change is accepted. After an error, calling it again sends the same
+// change again.
+func (c *Cluster) SetAccepted(ctx context.Context, failureDomain string, in bool) error {
+	c.outOfUse[failureDomain] = !in
+	return c.ApplySettings(ctx)
+}
+
+// IsConflict reports whether a change lost against another one.
+func IsConflict(err error) bool {
+	return errors.Is(err, &resultcode.Error{Code: resultcode.RevisionConflict})
+}
+
+// JournalPath returns the file to which a stand-in appends what it ran.
+func (c *Cluster) JournalPath(p *Process) string { return c.path(p.Name + ".journal") }
+
+// Swallow makes a stand-in's open connections go silent for good.
+func (p *Process) Swallow(ctx context.Context) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Address+"/standin/faults", strings.NewReader(`{"swallow":true}`))
+	if err != nil {
+		return err
+	}
+	req.Close = true
+	return doJSON(req, nil)
+}
+
+// WaitEnd waits for the process's end.
+func (p *Process) WaitEnd(timeout time.Duration) error {
+	select {
+	case <-p.Done():
+		return p.exitErr
+	case <-time.After(timeout):
+		return fmt.Errorf("%s did not end within %v", p.Name, timeout)
+	}
+}
--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -85,12 +85,7 @@
 // Terminate asks for a planned stop and waits for its end.
 func (p *Process) Terminate(timeout time.Duration) error {
 	p.Signal(syscall.SIGTERM)
-	select {
-	case <-p.Done():
-		return p.exitErr
-	case <-time.After(timeout):
-		return fmt.Errorf("%s did not end within %v", p.Name, timeout)
-	}
+	return p.WaitEnd(timeout)
 }
 
 // Done is closed when the process has ended.
--- /dev/null
+++ b/standin/faults/check.go
@@ -0,0 +1,151 @@
+package faults
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/endivetrack/endivetrack/standin/cluster"
+	"github.com/endivetrack/endivetrack/standin/engine"
+	"github.com/endivetrack/endivetrack/standin/loadgen"
+	"github.com/endivetrack/endivetrack/standin/service"
+	"github.com/endivetrack/endivetrack/standin/verify"
+)
+
+const fetchTimeout = 3 * time.Second
+
+// checkRecovery waits until everything serves again and the newest accepted
+// settings are still there.
+func (r *run) checkRecovery(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recoverIn)
+	defer cancel()
+	start := time.Now()
+	if err := r.waitServing(ctx); err != nil {
+		r.violation("no recovery within %v: %v", recoverIn, err)
+		return
+	}
+	r.result.Recovered = time.Since(start)
+	op, err := r.cluster.Operator()
+	if err != nil {
+		r.violation("operator: %v", err)
+		return
+	}
+	s, err := op.Read(ctx, cluster.Team)
+	switch {
+	case err != nil:
+		r.violation("read settings: %v", err)
+	case s.GetRevision() != r.cluster.Revision():
+		r.violation("settings are at revision %d, accepted was %d", s.GetRevision(), r.cluster.Revision())
+	case string(s.GetToml()) != r.cluster.SettingsText():
+		r.violation("the accepted settings of revision %d have changed", s.GetRevision())
+	}
+}
+
+// check compares what callers saw with what ran, and reads the programs' own
+// count of violated invariants.
+func (r *run) check(ctx context.Context, report loadgen.Report) {
+	v := verify.Compare(report, r.engineRecords(ctx), r.serviceRecords(), r.windows)
+	r.result.Verdict, r.result.Errors = v, report.Errors
+	for what, n := range map[string]int{
+		"duplicated": v.Duplicated, "refused as not run but ran": v.FalseNotRun,
+		"new work in a failure domain out of service": v.LateWork, "foreign answers": v.Foreign,
+		"tokens missing inside streams": report.Missing, "answered but not run": v.Lost - report.Lost,
+	} {
+		if n != 0 {
+			r.violation("%s: %d", what, n)
+		}
+	}
+	if r.cutsNothing() && (v.Whole != v.Requests || v.Cut != 0) {
+		r.violation("a planned stop cut requests: %d of %d whole, %d cut: %v", v.Whole, v.Requests, v.Cut, report.FirstErrors)
+	}
+	if r.controlOnly() && v.Cut != 0 {
+		r.violation("a fault of control cut %d streams: %v", v.Cut, report.FirstErrors)
+	}
+	if len(r.result.Violations) > 0 {
+		for _, note := range v.Notes {
+			r.violation("%s", note)
+		}
+	}
+	r.checkInvariants(ctx)
+}
+
+// cutsNothing reports whether the cells are planned stops only.
+func (r *run) cutsNothing() bool {
+	for _, c := range r.cells {
+		if c.Fault != Stop {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *run) controlOnly() bool {
+	for _, c := range r.cells {
+		if c.Role != ControlLeader && c.Role != ControlFollower {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *run) engineRecords(ctx context.Context) []engine.Record {
+	var out []engine.Record
+	for _, p := range r.cluster.Engines {
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		var rec engine.Record
+		if cluster.GetJSON(ctx, "http://"+p.Address+"/standin/record", &rec) == nil {
+			rec.Preemptions, rec.Failed = 0, 0
+			out = append(out, rec)
+		}
+		cancel()
+	}
+	return out
+}
+
+// serviceRecords reads the services' journals, which survive a kill.
+func (r *run) serviceRecords() []service.Record {
+	var out []service.Record
+	for i, p := range r.cluster.Services {
+		rec := service.Record{Target: p.Name, FailureDomain: cluster.Places[i%len(cluster.Places)].FailureDomain, PerKey: map[string]int{}}
+		f, err := os.Open(r.cluster.JournalPath(p))
+		if err != nil {
+			r.violation("journal: %v", err)
+			continue
+		}
+		lines := bufio.NewScanner(f)
+		for lines.Scan() {
+			var e service.Execution
+			if json.Unmarshal(lines.Bytes(), &e) == nil {
+				rec.Executions = append(rec.Executions, e)
+				if e.Key != "" {
+					rec.PerKey[e.Key]++
+				}
+			}
+		}
+		_ = f.Close()
+		out = append(out, rec)
+	}
+	return out
+}
+
+func (r *run) checkInvariants(ctx context.Context) {
+	for _, p := range append(append([]*cluster.Process{}, r.cluster.Controls...), r.cluster.Entries...) {
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		var m struct {
+			Counters map[string]int64 `json:"counters"`
+		}
+		err := cluster.GetJSON(ctx, "http://"+p.Address+"/metrics", &m)
+		cancel()
+		if err != nil {
+			r.violation("metrics of %s: %v", p.Name, err)
+		}
+		for name, n := range m.Counters {
+			if strings.Contains(name, "invariant") && n > 0 {
+				r.violation("%s counts %d of %s", p.Name, n, name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/standin/faults/inject.go
@@ -0,0 +1,211 @@
+package faults
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/standin/cluster"
+)
+
+// Rule prefixes of the silent cuts (internal/process).
+const (
+	peerSend    = "peer.send:"
+	peerReceive = "peer.receive:"
+	slowCall    = 100 // milliseconds
+	maxSkip     = 4   // the seed lets up to this many passes of a step go by
+	stopTimeout = 40 * time.Second
+)
+
+var errNoProcess = errors.New("no process has this role now")
+
+// injectAndHeal lets each cell's fault happen and heals all of them later.
+func (r *run) injectAndHeal(ctx context.Context, start time.Time) error {
+	for i, c := range r.cells {
+		sleepUntil(ctx, start.Add(injectAfter+time.Duration(r.rng.Int64N(int64(spread)))*time.Duration(i+1)/2))
+		p, err := r.processOf(ctx, c.Role)
+		if err != nil {
+			return err
+		}
+		r.hit = append(r.hit, p)
+		if err := r.inject(ctx, c, p); err != nil {
+			return err
+		}
+	}
+	sleepUntil(ctx, start.Add(healAfter))
+	return r.heal(ctx)
+}
+
+// processOf returns the process that has a role now.
+func (r *run) processOf(ctx context.Context, role Role) (*cluster.Process, error) {
+	c := r.cluster
+	switch role {
+	case Entry:
+		return c.Entries[r.rng.IntN(len(c.Entries))], nil
+	case Engine:
+		return c.Engines[r.rng.IntN(len(c.Engines))], nil
+	case Service:
+		return c.Services[r.rng.IntN(len(c.Services))], nil
+	}
+	status, err := r.status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if role == Owner {
+		return r.owner(status)
+	}
+	for _, p := range c.Controls {
+		if (p.Name == status.Leader) == (role == ControlLeader) {
+			return p, nil
+		}
+	}
+	return nil, errNoProcess
+}
+
+func (r *run) status(ctx context.Context) (*api.StatusResponse, error) {
+	op, err := r.cluster.Operator()
+	if err != nil {
+		return nil, err
+	}
+	return op.Status(ctx)
+}
+
+func (r *run) owner(s *api.StatusResponse) (*cluster.Process, error) {
+	for _, a := range s.Assignments {
+		if a.Shard.GetService() != cluster.EngineService {
+			continue
+		}
+		for _, e := range r.cluster.Entries {
+			if e.Address == a.OwnerAddress {
+				return e, nil
+			}
+		}
+	}
+	return r.cluster.Entries[0], nil
+}
+
+// inject carries out a cell's fault, or arms it at the cell's step.
+func (r *run) inject(ctx context.Context, c Cell, p *cluster.Process) error {
+	if c.Point != "" {
+		return r.arm(ctx, c, p)
+	}
+	switch c.Fault {
+	case Kill:
+		p.Kill()
+	case LoseDisk:
+		p.Kill()
+		return r.emptyDisk(p)
+	case Freeze:
+		p.Freeze()
+	case Stop:
+		p.Signal(syscall.SIGTERM)
+	case Swallow:
+		return p.Swallow(ctx)
+	case CutSend:
+		return p.SetRules(ctx, cluster.Rule{Prefix: peerSend, Action: "error"})
+	case CutReply:
+		return p.SetRules(ctx, cluster.Rule{Prefix: peerReceive, Action: "error"})
+	case CutBoth:
+		return r.cutBoth(ctx, p)
+	case Slow:
+		return p.SetRules(ctx, cluster.Rule{Prefix: peerSend, Action: "delay", DelayMS: slowCall})
+	}
+	return nil
+}
+
+func (r *run) cutBoth(ctx context.Context, p *cluster.Process) error {
+	for _, other := range append(append([]*cluster.Process{}, r.cluster.Controls...), r.cluster.Entries...) {
+		prefix := peerSend + p.Address
+		if other == p {
+			prefix = peerSend
+		}
+		if err := other.SetRules(ctx, cluster.Rule{Prefix: prefix, Action: "error"}); err != nil && other.Running() && other == p {
+			return err
+		}
+	}
+	return nil
+}
+
+var pointActions = map[Fault]string{Kill: "kill", LoseDisk: "kill", Freeze: "freeze", Fail: "error"}
+
+func (r *run) arm(ctx context.Context, c Cell, p *cluster.Process) error {
+	return p.SetRules(ctx, cluster.Rule{Prefix: c.Point, Action: pointActions[c.Fault], Skip: r.rng.IntN(maxSkip), Times: 1})
+}
+
+func (r *run) emptyDisk(p *cluster.Process) error {
+	for i, c := range r.cluster.Controls {
+		if c == p {
+			return removeContents(r.cluster.DataDir(i))
+		}
+	}
+	return nil
+}
+
+func removeContents(dir string) error {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		if err := os.RemoveAll(filepath.Join(dir, e.Name())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// heal undoes every fault: frozen processes go on, cuts end, ended processes
+// start again, with an empty disk where it was lost.
+func (r *run) heal(ctx context.Context) error {
+	for i, p := range r.hit {
+		p.Continue()
+		c := r.cells[i]
+		if c.Fault == Stop {
+			if err := p.WaitEnd(stopTimeout); err != nil {
+				r.violation("planned stop: %v", err)
+				p.Kill()
+			}
+		}
+		if c.Fault == Fail && c.Role != Entry {
+			_ = p.WaitEnd(time.Second) // a failed write or sync is fatal
+		}
+		if p.Running() {
+			r.noteReached(ctx, c, p)
+			continue
+		}
+		if c.Fault == LoseDisk && c.Point != "" {
+			if err := r.emptyDisk(p); err != nil {
+				return err
+			}
+		}
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return r.clearRules(ctx)
+}
+
+// noteReached records whether an armed step was reached by a process that
+// still runs.
+func (r *run) noteReached(ctx context.Context, c Cell, p *cluster.Process) {
+	if c.Point == "" {
+		return
+	}
+	if s, err := p.Faults(ctx); err == nil && s.Fired == 0 {
+		r.result.Reached = false
+	}
+}
+
+func (r *run) clearRules(ctx context.Context) error {
+	for _, p := range append(append([]*cluster.Process{}, r.cluster.Controls...), r.cluster.Entries...) {
+		err := cluster.WaitUntil(ctx, "faults of "+p.Name+" to clear", func() bool { return !p.Running() || p.SetRules(ctx) == nil })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/faults/matrix.go
@@ -0,0 +1,112 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Matrix runs cells in parallel until time is up.
+type Matrix struct {
+	BinDir   string
+	Seed     uint64
+	Until    time.Time
+	Parallel int
+	// Known names cells listed in KNOWN-RED.txt.
+	Known map[string]bool
+	Out   io.Writer
+}
+
+// Summary counts the cells of a run.
+type Summary struct {
+	Cells, Failed, KnownRed, NotReached int
+}
+
+// Run runs the single cells in an order drawn from the seed, then pairs, until
+// the time is up or, with a zero Until, all single cells are done.
+func (m Matrix) Run(ctx context.Context) Summary {
+	jobs := make(chan []Cell)
+	var s Summary
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range m.Parallel {
+		wg.Go(func() {
+			for cells := range jobs {
+				result, err := Run(ctx, m.BinDir, m.Seed, cells...)
+				mu.Lock()
+				m.count(&s, result, err)
+				mu.Unlock()
+			}
+		})
+	}
+	m.feed(ctx, jobs)
+	close(jobs)
+	wg.Wait()
+	return s
+}
+
+// cellTime is about how long one cell takes; none is started later than that
+// before the end.
+const cellTime = 15 * time.Second
+
+func (m Matrix) feed(ctx context.Context, jobs chan<- []Cell) {
+	rng := rand.New(rand.NewPCG(m.Seed, 1))
+	cells := Cells()
+	rng.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
+	timeIsUp := func() bool {
+		return ctx.Err() != nil || !m.Until.IsZero() && time.Until(m.Until) < cellTime
+	}
+	for _, c := range cells {
+		if timeIsUp() {
+			return
+		}
+		jobs <- []Cell{c}
+	}
+	for !m.Until.IsZero() && !timeIsUp() {
+		pair := Pair(rng)
+		jobs <- pair[:]
+	}
+}
+
+func (m Matrix) count(s *Summary, r Result, err error) {
+	s.Cells++
+	if !r.Reached {
+		s.NotReached++
+	}
+	if err == nil && len(r.Violations) == 0 {
+		return
+	}
+	state := "failed"
+	if m.Known[r.Name()] {
+		state = "known-red"
+		s.KnownRed++
+	} else {
+		s.Failed++
+	}
+	what := strings.Join(r.Violations, "; ")
+	if err != nil {
+		what = err.Error()
+	}
+	fmt.Fprintf(m.Out, "%s %s: %s\n  repeat: bin/standin-faults -seed %d -cell %s\n", state, r.Name(), what, m.Seed, r.Name())
+}
+
+// ParseCells finds the cells of a name as Result.Name gives it.
+func ParseCells(name string) ([]Cell, error) {
+	var out []Cell
+	for _, part := range strings.Split(name, "+") {
+		found := false
+		for _, c := range Cells() {
+			if c.Name() == part {
+				out, found = append(out, c), true
+			}
+		}
+		if !found {
+			return nil, fmt.Errorf("no cell %q", part)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/standin/faults/run.go
@@ -0,0 +1,226 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/endivetrack/endivetrack/standin/cluster"
+	"github.com/endivetrack/endivetrack/standin/loadgen"
+	"github.com/endivetrack/endivetrack/standin/verify"
+)
+
+// Schedule of one cell, counted from the start of the load.
+const (
+	startTimeout = 20 * time.Second
+	loadTime     = 8 * time.Second
+	drainTime    = 25 * time.Second
+	injectAfter  = 2 * time.Second
+	healAfter    = 5500 * time.Millisecond // over the 2 s lease and the 2.2 s expiry after injection
+	outAfter     = 2500 * time.Millisecond
+	backAfter    = 7 * time.Second
+	changeEvery  = 500 * time.Millisecond
+	recoverIn    = 15 * time.Second
+	spread       = time.Second // the seed moves the injection by up to this
+)
+
+// Sizes of one cell's deployment.
+const (
+	controls = 3
+	entries  = 6
+	engines  = 3
+	services = 3
+)
+
+// Result is the outcome of one cell.
+type Result struct {
+	Cells      []Cell
+	Seed       uint64
+	Violations []string
+	// Reached is false when no process came to the named step.
+	Reached bool
+	Verdict verify.Verdict
+	Errors  map[string]int
+	// Recovered is how long after healing every entry instance served again.
+	Recovered time.Duration
+}
+
+// Name joins the names of the cells.
+func (r Result) Name() string {
+	name := r.Cells[0].Name()
+	if len(r.Cells) > 1 {
+		name += "+" + r.Cells[1].Name()
+	}
+	return name
+}
+
+// run is one cell under way.
+type run struct {
+	cluster *cluster.Cluster
+	rng     *rand.Rand
+	cells   []Cell
+	hit     []*cluster.Process
+	result  Result
+	windows []verify.Window
+}
+
+// Run starts a deployment, sends load, lets the cells' faults happen, heals
+// them and checks the promises. An error means that the check itself failed.
+func Run(ctx context.Context, binDir string, seed uint64, cells ...Cell) (Result, error) {
+	dir, err := os.MkdirTemp("", "faults")
+	if err != nil {
+		return Result{}, err
+	}
+	c, err := cluster.New(cluster.Options{
+		BinDir: binDir, Dir: dir, Controls: controls, Entries: entries, Engines: engines, Services: services, Accounts: 2,
+		EngineFlags: []string{"-cold-for", "0", "-cold-tokens", "0"},
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	defer c.Stop()
+	r := &run{cluster: c, rng: rand.New(rand.NewPCG(seed, 0)), cells: cells, result: Result{Cells: cells, Seed: seed, Reached: true}}
+	if err := r.start(ctx); err != nil {
+		return r.result, fmt.Errorf("start: %w", err)
+	}
+	report, err := r.load(ctx)
+	if err != nil {
+		return r.result, err
+	}
+	r.checkRecovery(ctx)
+	r.check(ctx, report)
+	if len(r.result.Violations) == 0 {
+		err = os.RemoveAll(dir)
+	} else {
+		r.violation("files: %s", dir)
+	}
+	return r.result, err
+}
+
+func (r *run) violation(format string, args ...any) {
+	r.result.Violations = append(r.result.Violations, fmt.Sprintf(format, args...))
+}
+
+func (r *run) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := r.cluster.Start(ctx); err != nil {
+		return err
+	}
+	return r.waitServing(ctx)
+}
+
+// waitServing waits until a generation, a read and a protected write succeed
+// for callers that start at each entry instance.
+func (r *run) waitServing(ctx context.Context) error {
+	for i, e := range r.cluster.Entries {
+		caller := loadgen.NewDirect([]string{e.Address}, "", "", r.cluster.AccountKeys[0])
+		err := cluster.WaitUntil(ctx, e.Name+" to serve", func() bool { return serves(ctx, caller, fmt.Sprintf("probe-%d-%d", i, time.Now().UnixNano())) })
+		caller.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func serves(ctx context.Context, caller loadgen.Caller, key string) bool {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	if _, err := caller.Call(ctx, loadgen.CallRequest{Method: "GET", Service: cluster.PlainService, Path: "/lots/1"}); err != nil {
+		return false
+	}
+	if _, err := caller.Call(ctx, loadgen.CallRequest{Method: "POST", Service: cluster.PlainService, Path: "/bids", IdempotencyKey: key, Body: []byte("{}")}); err != nil {
+		return false
+	}
+	g := caller.Generate(ctx, loadgen.GenerateRequest{Model: cluster.Model, Class: cluster.ShortClass, Prompt: "[class=short] " + key, MaxTokens: 4},
+		func(string, int, string) {})
+	return g.Err == nil
+}
+
+func profile() loadgen.Profile {
+	p := loadgen.Profile{
+		Team: cluster.Team, Model: cluster.Model, PlainService: cluster.PlainService,
+		ReadPaths: []string{"/lots/"}, WritePaths: []string{"/bids", "/payments"},
+		Classes: []loadgen.ClassLoad{
+			{Name: cluster.LongClass, Share: 0.6, MaxTokens: 200, BodyBytes: 300},
+			{Name: cluster.ShortClass, Short: true, Share: 0.4, MaxTokens: 16, BodyBytes: 100},
+		},
+		Accounts: []loadgen.AccountLoad{{Name: "account-1", Share: 0.7}, {Name: "account-2", Share: 0.3}},
+	}
+	for _, place := range cluster.Places {
+		p.Places = append(p.Places, loadgen.Place{Region: place.Region, FailureDomain: place.FailureDomain})
+	}
+	return p
+}
+
+// load sends requests while faults happen and operators change settings.
+func (r *run) load(ctx context.Context) (loadgen.Report, error) {
+	var callers []loadgen.Caller
+	for i, key := range r.cluster.AccountKeys {
+		place := cluster.Places[i%len(cluster.Places)]
+		var seeds []string
+		for _, e := range r.cluster.Entries {
+			seeds = append(seeds, e.Address)
+		}
+		caller := loadgen.NewDirect(seeds, place.Region, place.FailureDomain, key)
+		defer caller.Close()
+		callers = append(callers, caller)
+	}
+	loadCtx, cancel := context.WithTimeout(ctx, loadTime+drainTime)
+	defer cancel()
+	start := time.Now()
+	faultsDone, operatorDone := make(chan error, 1), make(chan error, 1)
+	go func() { faultsDone <- r.injectAndHeal(ctx, start) }()
+	go func() { operatorDone <- r.operate(ctx, start) }()
+	report := loadgen.Run(loadCtx, profile(), loadgen.Load{
+		Seed: r.result.Seed, Duration: loadTime, GenerateRate: 6, ReadRate: 10, WriteRate: 15, RepeatShare: 0.2,
+	}, loadgen.DefaultBounds(), callers)
+	if err := <-faultsDone; err != nil {
+		return report, fmt.Errorf("faults: %w", err)
+	}
+	return report, <-operatorDone
+}
+
+// operate takes a failure domain out and back and makes further changes in
+// between. Each change is sent again with the same id until it is accepted.
+func (r *run) operate(ctx context.Context, start time.Time) error {
+	const out = "dakar-b"
+	change := func(after time.Duration, in bool) (time.Time, error) {
+		sleepUntil(ctx, start.Add(after))
+		for {
+			callCtx, cancel := context.WithTimeout(ctx, 4*time.Second)
+			err := r.cluster.SetAccepted(callCtx, out, in)
+			cancel()
+			if err == nil || time.Since(start) > loadTime+drainTime || ctx.Err() != nil {
+				return time.Now(), err
+			}
+			if cluster.IsConflict(err) {
+				r.violation("a resent change got a conflict: %v", err)
+				return time.Now(), nil
+			}
+		}
+	}
+	from, err := change(outAfter, false)
+	if err != nil {
+		return err
+	}
+	for time.Since(start) < backAfter {
+		if _, err := change(time.Since(start)+changeEvery, false); err != nil {
+			return err
+		}
+	}
+	until := time.Now()
+	r.windows = append(r.windows, verify.Window{FailureDomain: out, From: from.UnixMicro(), Until: until.UnixMicro()})
+	_, err = change(0, true)
+	return err
+}
+
+func sleepUntil(ctx context.Context, t time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(t)):
+	}
+}
--- a/standin/loadgen/report.go
+++ b/standin/loadgen/report.go
@@ -55,6 +55,8 @@
 	// Lost answers or tokens: a stream with a hole, a stream or an answer that
 	// never came to its end although it ran or may have run.
 	Lost int `json:"lost"`
+	// Missing tokens: holes inside a stream, before its last delivered token.
+	Missing int `json:"missing"`
 	// Duplicated tokens.
 	Duplicated int `json:"duplicated"`
 	// Foreign tokens or answers: wrong text, another generation, another call.
--- a/standin/loadgen/run.go
+++ b/standin/loadgen/run.go
@@ -136,6 +136,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.Tokens += w.next
+	r.report.Missing += w.missing
 	r.report.Duplicated += w.duplicated
 	r.report.Foreign += w.foreign
 	r.report.Cut += g.Cuts
