--- a/internal/entry/reply/reply.go
+++ b/internal/entry/reply/reply.go
@@ -14,6 +14,11 @@
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
+// CodeHeader carries the result code of an answer that the system itself gave.
+// Headers of targets are not passed on, so it tells such an answer from a
+// target's own.
+const CodeHeader = "X-Endivetrack-Code"
+
 // bodyReadTimeout bounds how long a caller may take to send a body.
 const bodyReadTimeout = 10 * time.Second
 
@@ -49,6 +54,7 @@
 	e := resultcode.From(err)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
+	h.Set(CodeHeader, strconv.Itoa(int(e.Code)))
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
