--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 .PHONY: build test lint fmt-check proto demo faults bench slopes
 
 build:
-	$(GO) build -o $(BIN)/ ./cmd/... ./standin/cmd/...
+	$(GO) build -o $(BIN)/ ./cmd/... ./standin/cmd/... ./bench/cmd/...
 
 # The command that CI runs: format, lint, tests. Needs no kit.
 test: fmt-check lint
