--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -20,6 +20,7 @@
 
 	InFlight int
 	Limit    int // most requests it may run, for this request
+	Bound    int // most requests it says it can run; 0 unknown
 	// Peak is the predicted peak of resident tokens with the request added,
 	// Memory the tokens that fit; 0 is unknown.
 	Peak   float64
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -116,6 +116,7 @@
 		InService:     s.team.FailureDomainInService(a.GetFailureDomain()),
 		InFlight:      s.inFlight(t, now),
 		Limit:         s.limit(t, now),
+		Bound:         int(a.GetMaxRunning()),
 	}
 	if !s.plain() {
 		c.Memory = float64(a.GetMemoryTokens())
