Send settings as the difference to the revision before

Ruled out: compression alone (digests do not compress below half). Now an answer to a session that has the revision before carries only the replaced middle with a hash of the whole text.

--- a/internal/session/accept.go
+++ b/internal/session/accept.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 	"github.com/endivetrack/endivetrack/internal/settings"
@@ -97,19 +99,42 @@
 }
 
 func nextTeam(old Team, ts *api.TeamSettings) (Team, error) {
+	text, err := textOf(old, ts)
+	if err != nil {
+		return Team{}, err
+	}
 	switch {
 	case ts.GetRevision() < old.Revision:
 		return Team{}, resultcode.Newf(resultcode.InvariantViolation,
 			"team %q: revision %d after revision %d", ts.GetTeam(), ts.GetRevision(), old.Revision)
-	case ts.GetRevision() == old.Revision && !bytes.Equal(ts.GetToml(), old.text):
+	case ts.GetRevision() == old.Revision && !bytes.Equal(text, old.text):
 		return Team{}, resultcode.Newf(resultcode.InvariantViolation,
 			"team %q: two contents at revision %d", ts.GetTeam(), ts.GetRevision())
 	case ts.GetRevision() == old.Revision:
 		return old, nil
 	}
-	parsed, err := settings.Parse(ts.GetTeam(), ts.GetToml())
+	parsed, err := settings.Parse(ts.GetTeam(), text)
 	if err != nil {
 		return Team{}, err
 	}
-	return Team{Revision: ts.GetRevision(), Settings: parsed, text: ts.GetToml()}, nil
+	return Team{Revision: ts.GetRevision(), Settings: parsed, text: text}, nil
+}
+
+// textOf returns the whole text of a team's settings, which an answer may give
+// as the difference to the revision that this instance has.
+func textOf(old Team, ts *api.TeamSettings) ([]byte, error) {
+	switch {
+	case ts.GetBaseRevision() == 0:
+		return ts.GetToml(), nil
+	case ts.GetRevision() == old.Revision && ts.GetTextHash() == xxhash.Sum64(old.text):
+		// The answer to a parallel renewal has brought this revision before.
+		return old.text, nil
+	case ts.GetBaseRevision() == old.Revision:
+		d := settings.Delta{
+			KeepPrefix: int(ts.GetKeepPrefix()), KeepSuffix: int(ts.GetKeepSuffix()), Middle: ts.GetToml(), Hash: ts.GetTextHash(),
+		}
+		return d.Apply(old.text)
+	}
+	return nil, resultcode.Newf(resultcode.InvariantViolation,
+		"team %q: difference to revision %d, have %d", ts.GetTeam(), ts.GetBaseRevision(), old.Revision)
 }
--- a/internal/state/command/settings.go
+++ b/internal/state/command/settings.go
@@ -51,6 +51,7 @@
 	}
 	s.Teams[t.Name] = t
 	t.Revision++
+	t.Previous = model.Text{Revision: t.Revision - 1, Version: t.Version, TOML: t.TOML}
 	t.Version, t.TOML, t.Settings = index, c.GetToml(), parsed
 	t.RememberChange(c.GetChangeId(), model.Change{ContentSHA256: digest, Revision: t.Revision, Version: index}, maxChangeIDs)
 	return ok(&api.ApplySettingsResponse{Revision: t.Revision, Version: index})
--- a/internal/state/model/model.go
+++ b/internal/state/model/model.go
@@ -33,6 +33,9 @@
 	Version  uint64 // log index of the last accepted change
 	TOML     []byte
 	Settings *settings.Team
+	// Previous is the revision before this one, kept in memory only, so that
+	// sessions that have seen it receive the difference. Empty after a restart.
+	Previous Text
 
 	Changes     map[string]Change
 	ChangeOrder []string // change ids, oldest first
@@ -44,6 +47,13 @@
 	Loads map[string]*Load // by target
 }
 
+// Text is a team's settings at one revision.
+type Text struct {
+	Revision uint64
+	Version  uint64
+	TOML     []byte
+}
+
 // Change is an accepted change of settings, kept to answer a repeated change id.
 type Change struct {
 	ContentSHA256 [32]byte
--- a/internal/state/query/query.go
+++ b/internal/state/query/query.go
@@ -7,6 +7,7 @@
 
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/session"
+	"github.com/endivetrack/endivetrack/internal/settings"
 	"github.com/endivetrack/endivetrack/internal/state/model"
 )
 
@@ -34,7 +35,7 @@
 	out := &api.RenewResponse{Version: ViewVersion(s)}
 	for _, name := range slices.Sorted(maps.Keys(s.Teams)) {
 		if t := s.Teams[name]; t.Version > seen {
-			out.Settings = append(out.Settings, TeamSettings(t))
+			out.Settings = append(out.Settings, settingsAfter(t, seen))
 		}
 	}
 	if s.InstancesVersion > seen {
@@ -51,6 +52,19 @@
 	return &api.TeamSettings{Team: t.Name, Revision: t.Revision, Toml: t.TOML}
 }
 
+// settingsAfter returns a team's settings for a session that has seen a
+// version: the difference if it has the revision before, else the whole text.
+func settingsAfter(t *model.Team, seen uint64) *api.TeamSettings {
+	if t.Previous.Revision == 0 || seen < t.Previous.Version {
+		return TeamSettings(t)
+	}
+	d := settings.Diff(t.Previous.TOML, t.TOML)
+	return &api.TeamSettings{
+		Team: t.Name, Revision: t.Revision, Toml: d.Middle,
+		BaseRevision: t.Previous.Revision, KeepPrefix: uint32(d.KeepPrefix), KeepSuffix: uint32(d.KeepSuffix), TextHash: d.Hash,
+	}
+}
+
 // Instances returns the live instances in order of their session ids.
 func Instances(s *model.State) []*api.Instance {
 	out := make([]*api.Instance, 0, len(s.Sessions))
