--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -39,6 +39,10 @@
 	maxTokens             uint32
 }
 
+// special reports whether the targets open to the request differ from those of
+// its class.
+func (w *waiting) special() bool { return len(w.request.Exclude) > 0 || w.reserved }
+
 func newFailures() failures {
 	return failures{smallest: map[failedKey]uint32{}, tickets: map[Ticket]bool{}}
 }
@@ -49,7 +53,7 @@
 }
 
 func (f *failures) has(w *waiting) bool {
-	if len(w.request.Exclude) > 0 || w.reserved != "" {
+	if w.special() {
 		return f.tickets[w.ticket]
 	}
 	prompt, ok := f.smallest[keyOfFailed(w.request)]
@@ -57,7 +61,7 @@
 }
 
 func (f *failures) add(w *waiting) {
-	if len(w.request.Exclude) > 0 || w.reserved != "" {
+	if w.special() {
 		f.tickets[w.ticket] = true
 	} else {
 		f.smallest[keyOfFailed(w.request)] = w.request.Class.GetPromptTokens()
@@ -67,12 +71,11 @@
 // pass is one run of the grant loop over the queue. Grants only use capacity
 // up, so a request that found no target stays without one for the whole pass.
 type pass struct {
-	s        *Shard
-	now      time.Time
-	full     bool      // all targets are tried for all requests
-	freed    []*target // tried for requests that failed before
-	loads    map[string]float64
-	reserved map[string]Ticket // targets kept free
+	s     *Shard
+	now   time.Time
+	full  bool      // all targets are tried for all requests
+	freed []*target // tried for requests that failed before
+	loads map[string]float64
 }
 
 // free notes that a target may have capacity that it did not have before.
@@ -84,12 +87,10 @@
 }
 
 func (s *Shard) newPass(now time.Time) *pass {
-	p := &pass{s: s, now: now, reserved: map[string]Ticket{}, loads: s.domainLoads(now)}
+	p := &pass{s: s, now: now, loads: s.domainLoads(now)}
 	if s.memo == nil || now.Sub(s.memo.at) >= memoTTL {
 		p.full = true
 		s.memo = &memo{at: now, failed: newFailures(), retried: newFailures()}
-	} else {
-		p.keepReservations()
 	}
 	for _, t := range s.targets {
 		if p.full {
@@ -101,15 +102,6 @@
 	return p
 }
 
-// keepReservations restores the reservations of the last full pass.
-func (p *pass) keepReservations() {
-	for ticket := range p.s.memo.failed.tickets {
-		if it := p.s.tickets[ticket]; it != nil && it.Value.reserved != "" {
-			p.reserved[it.Value.reserved] = ticket
-		}
-	}
-}
-
 // next returns the first request in the order of service that a target can
 // run, and the target; nil when there is none.
 func (p *pass) next() (*admission.Item[*waiting], *target) {
@@ -140,38 +132,50 @@
 		return p.s.targets[c.Name]
 	}
 	if len(tight) > 0 && p.full && p.now.Sub(w.request.Arrived) > overtakenPatience {
-		p.reserve(w, tight)
+		p.s.reserve(w, tight)
 	}
 	return nil
 }
 
+// reservation keeps a target free for a request that others overtook for too
+// long. There is at most one per model.
+type reservation struct {
+	ticket Ticket
+	target string
+}
+
 // keptFrom reports whether the target is kept free for another request. Short
 // classes may use it: they are gone soon.
-func (p *pass) keptFrom(w *waiting, name string) bool {
-	ticket, kept := p.reserved[name]
-	return kept && ticket != w.ticket && !w.short
+func (s *Shard) keptFrom(w *waiting, target string) bool {
+	if w.short {
+		return false
+	}
+	for _, r := range s.reserved {
+		if r.target == target && r.ticket != w.ticket && s.tickets[r.ticket] != nil {
+			return true
+		}
+	}
+	return false
 }
 
-// reserve keeps the target with the most room free for the request: at most
-// one target per model at a time.
-func (p *pass) reserve(w *waiting, tight []*routing.Candidate) {
-	for _, ticket := range p.reserved {
-		if it := p.s.tickets[ticket]; it != nil && it.Value.request.Class.GetModel() == w.request.Class.GetModel() {
-			return
-		}
+// reserve keeps the target with the most room free for the request.
+func (s *Shard) reserve(w *waiting, tight []*routing.Candidate) {
+	model := w.request.Class.GetModel()
+	r, held := s.reserved[model]
+	if held && r.ticket != w.ticket && s.tickets[r.ticket] != nil {
+		return
 	}
 	best := tight[0]
 	for _, c := range tight {
-		if c.Name == w.reserved {
-			best = c
-			break
+		if w.reserved && c.Name == r.target {
+			return
 		}
-		if c.Peak/c.Memory < best.Peak/best.Memory {
+		if c.Peak/c.Memory < best.Peak/best.Memory || c.Peak/c.Memory == best.Peak/best.Memory && c.Name < best.Name {
 			best = c
 		}
 	}
-	w.reserved = best.Name
-	p.reserved[best.Name] = w.ticket
+	w.reserved = true
+	s.reserved[model] = reservation{w.ticket, best.Name}
 }
 
 // candidates returns the targets that can run the request now, and those that
@@ -181,7 +185,7 @@
 	var forecast *admission.Forecast
 	try := func(t *target) {
 		c := p.s.candidate(t, w.short, p.now)
-		if c == nil || c.InFlight >= c.Limit || !p.s.router.Keep(q, c) || p.keptFrom(w, t.name) {
+		if c == nil || c.InFlight >= c.Limit || !p.s.router.Keep(q, c) || p.s.keptFrom(w, t.name) {
 			return
 		}
 		c.DomainLoad = p.loads[c.FailureDomain]
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -55,18 +55,17 @@
 	router    *routing.Router
 	shortSeen time.Time // last arrival of a request of a short class
 
-	memo   *memo
-	totals Totals
-	idle   idleRate
+	memo     *memo
+	reserved map[string]reservation // by model
+	totals   Totals
+	idle     idleRate
 }
 
 type waiting struct {
-	ticket  Ticket
-	request Request
-	short   bool
-	// reserved is the target kept free for this request, which larger or
-	// later requests have overtaken for too long.
-	reserved string
+	ticket   Ticket
+	request  Request
+	short    bool
+	reserved bool // a target is kept free for this request
 }
 
 // Totals counts what the shard did since it was started.
@@ -92,6 +91,7 @@
 		tickets:  map[Ticket]*admission.Item[*waiting]{},
 		lengths:  admission.NewLengths(),
 		router:   routing.Default(),
+		reserved: map[string]reservation{},
 	}
 	s.Configure(team, service)
 	return s
