admission: a target that announces itself cold stays at the cold limit

Cause: the ramp doubled from 4 to 8 while the engine still announced cold, since its time between tokens (24 ms) was below the policy's 31 ms; it bears 4. Ruled out: a late announcement (the flag was current at each grant). Now the ramp rises only after the announcement says warm.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -56,11 +56,14 @@
 // Limit is the adaptive concurrency limit of one target.
 //
 // Invariant: while the target is cold, Allowed is at most the ramp, which
-// starts at ColdLimit and at most doubles per successful interval.
+// starts at ColdLimit and at most doubles per successful interval. While the
+// target announces itself that it is cold, Allowed is at most ColdLimit: a
+// cold engine shows a good time between tokens until just before it falls over.
 type Limit struct {
 	value      float64 // learned limit of the warm target
 	max        float64
 	ramp       float64 // 0 when warm
+	announced  bool    // the target says that it is cold
 	firstToken time.Duration
 }
 
@@ -87,12 +90,24 @@
 
 // Allowed returns how many requests the target may run now.
 func (l *Limit) Allowed() int {
+	if l.announced {
+		return max(1, int(min(l.ramp, l.value, ColdLimit)))
+	}
 	if l.Cold() {
 		return max(1, int(min(l.ramp, l.value)))
 	}
 	return max(1, int(l.value))
 }
 
+// Announce takes what the target says about itself. The ramp starts when it
+// begins to say that it is cold, and rises only after it has stopped.
+func (l *Limit) Announce(cold bool) {
+	if cold && !l.announced {
+		l.Cool()
+	}
+	l.announced = cold
+}
+
 // Cool restarts the ramp. The learned limit remains the ramp's goal.
 func (l *Limit) Cool() { l.ramp = ColdLimit }
 
@@ -139,7 +154,7 @@
 		l.ramp = max(1, l.ramp*minBackoff)
 		return
 	}
-	if float64(s.InFlight) < l.ramp/2 {
+	if l.announced || float64(s.InFlight) < l.ramp/2 {
 		return
 	}
 	l.ramp *= 2
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -77,9 +77,8 @@
 	case last.GetIncarnation() != a.GetIncarnation():
 		t.limit.Cool()
 		t.prefix.Reset()
-	case a.GetCold() && !last.GetCold():
-		t.limit.Cool()
 	}
+	t.limit.Announce(a.GetCold())
 	if last != nil && last.GetIncarnation() == a.GetIncarnation() && a.GetPreemptionsTotal() > last.GetPreemptionsTotal() {
 		s.totals.Preemptions += uint64(a.GetPreemptionsTotal() - last.GetPreemptionsTotal())
 		t.sample.Preempted = true
