--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -55,17 +55,17 @@
 	router    *routing.Router
 	shortSeen time.Time // last arrival of a request of a short class
 
-	totals Totals
-	idle   idleRate
+	memo     *memo
+	reserved map[string]reservation // by model
+	totals   Totals
+	idle     idleRate
 }
 
 type waiting struct {
-	ticket  Ticket
-	request Request
-	short   bool
-	// reserved is the target kept free for this request, which larger or
-	// later requests have overtaken for too long.
-	reserved string
+	ticket   Ticket
+	request  Request
+	short    bool
+	reserved bool // a target is kept free for this request
 }
 
 // Totals counts what the shard did since it was started.
@@ -91,6 +91,7 @@
 		tickets:  map[Ticket]*admission.Item[*waiting]{},
 		lengths:  admission.NewLengths(),
 		router:   routing.Default(),
+		reserved: map[string]reservation{},
 	}
 	s.Configure(team, service)
 	return s
@@ -99,6 +100,7 @@
 // Configure puts new settings in force.
 func (s *Shard) Configure(team *settings.Team, service string) {
 	s.team, s.service = team, team.Services[service]
+	s.memo = nil
 }
 
 // Totals returns the counts so far.
@@ -183,15 +185,13 @@
 		s.queue.Serve(it)
 		out = append(out, s.grant(it.Value, t, now))
 	}
-	for it := range s.queue.All() {
+	for ticket, it := range s.tickets {
 		if !now.Before(it.Value.request.Until) {
-			out = append(out, Decision{Ticket: it.Value.ticket, Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_FULL})
+			s.Cancel(ticket)
+			out = append(out, Decision{Ticket: ticket, Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_FULL})
 		}
 	}
-	for _, d := range out {
-		s.Cancel(d.Ticket)
-	}
-	s.observeWaiting(now)
+	s.observeWaiting(p)
 	return out
 }
 
