entry, api: learn from reports that a permit has moved; test limits and classification

Cause: when a caller's path goes silent, the former instance does not notice that the caller resumed elsewhere. The target ends the former instance's stream in favour of the newer reader, the former instance opens it again, and both take it from each other for as long as the path looks open. Ruled out: write deadlines and the loss of the caller's connection (the kernel accepts and a relay acknowledges heartbeats). Before: without the check, TestFormerInstanceDoesNotTakeTheStreamBack sees further reads by the former instance. After: a report's answer names the permits that have moved, an instance asks before it opens a stream again, and stops.

--- /dev/null
+++ b/internal/entry/classify/classify_test.go
@@ -0,0 +1,92 @@
+package classify
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/entry/access"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/settings"
+)
+
+func identity() *access.Identity {
+	t := &settings.Team{
+		Services: map[string]settings.Service{"llm": {Kind: settings.KindEngine, Models: []string{"m"}, MaxBodyBytes: 1 << 20}},
+		Classes:  map[string]settings.Class{"normal": {Priority: 5, MaxTokens: 100}, "short": {Priority: 8, MaxTokens: 10}},
+	}
+	return &access.Identity{Team: t, Account: settings.ClientAccount{DefaultClass: "normal"}, AccountName: "one"}
+}
+
+// Guards what docs/targets.md says of prefix hashes and token estimates: an
+// owner compares the hashes with those in targets' cache events.
+func TestPrefixHashesAndTokens(t *testing.T) {
+	text := strings.Repeat("abcdefgh", 17) // 136 bytes: two whole blocks
+	body := `{"model":"m","messages":[{"role":"system","content":"` + text[:100] + `"},{"role":"user","content":"` + text[100:] + `"}]}`
+	g, err := ParseGeneration(identity(), "", []byte(body))
+	assert.NilError(t, err)
+	prompt := text[:100] + "\n" + text[100:]
+	assert.DeepEqual(t, g.Request.GetPrefixHashes(), []uint64{xxhash.Sum64String(prompt[:64]), xxhash.Sum64String(prompt[:128])})
+	assert.Equal(t, g.Request.GetPromptTokens(), uint32(35)) // 137 bytes / 4, rounded up
+	assert.Equal(t, len(PrefixHashes(make([]byte, 1<<20))), maxPrefixHashes)
+	assert.Equal(t, PromptTokens(0), uint32(0))
+}
+
+// Guards the body sent to engines: streamed, within the class, with the class's
+// priority, and nothing else changed.
+func TestEngineBody(t *testing.T) {
+	g, err := ParseGeneration(identity(), "short", []byte(`{"model":"m","stream":false,"max_tokens":50,"priority":9,"temperature":0.25,"messages":[{"role":"user","content":"x"}]}`))
+	assert.NilError(t, err)
+	var body map[string]any
+	assert.NilError(t, json.Unmarshal(g.Body, &body))
+	assert.DeepEqual(t, body, map[string]any{
+		"model": "m", "stream": true, "max_tokens": 10.0, "priority": 8.0, "temperature": 0.25,
+		"messages": []any{map[string]any{"role": "user", "content": "x"}},
+	})
+	assert.Equal(t, g.Stream, false)
+	assert.Equal(t, g.Request.GetMaxTokens(), uint32(10))
+	assert.Equal(t, g.Request.GetClass(), "short")
+}
+
+// Guards the numbered refusals of requests that are wrong.
+func TestWrongRequests(t *testing.T) {
+	for body, code := range map[string]resultcode.Code{
+		``:                             resultcode.BadRequest,
+		`[]`:                           resultcode.BadRequest,
+		`{"model":"m","messages":[]}`:  resultcode.BadRequest,
+		`{"model":"m","messages":"x"}`: resultcode.BadRequest,
+		`{"model":"x","messages":[{"role":"user","content":"x"}]}`:                   resultcode.UnknownModel,
+		`{"model":"m","max_tokens":-1,"messages":[{"role":"user","content":"x"}]}`:   resultcode.BadRequest,
+		`{"model":"m","max_tokens":1e99,"messages":[{"role":"user","content":"x"}]}`: resultcode.BadRequest,
+	} {
+		_, err := ParseGeneration(identity(), "", []byte(body))
+		assert.Equal(t, resultcode.From(err).Code, code, body)
+	}
+	_, err := ParseGeneration(identity(), "none", []byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+	assert.Equal(t, resultcode.From(err).Code, resultcode.BadRequest)
+}
+
+// Guards against panics and against a request that gains tokens or loses the
+// stream on its way to the engine.
+func FuzzParseGeneration(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+	f.Add([]byte(`{"model":"m","max_tokens":5,"Stream":false,"messages":[{"content":[{"type":"text"}]}]}`))
+	f.Add([]byte(`{"model":"m","MAX_TOKENS":5000,"messages":[{}]}`))
+	id := identity()
+	f.Fuzz(func(t *testing.T, in []byte) {
+		g, err := ParseGeneration(id, "", in)
+		if err != nil {
+			return
+		}
+		var sent struct {
+			Stream    bool `json:"stream"`
+			MaxTokens int  `json:"max_tokens"`
+			Priority  int  `json:"priority"`
+		}
+		assert.NilError(t, json.Unmarshal(g.Body, &sent))
+		assert.Assert(t, sent.Stream && sent.MaxTokens >= 1 && sent.MaxTokens <= 100 && sent.Priority == 5, string(g.Body))
+	})
+}
--- a/internal/entry/command/generation.go
+++ b/internal/entry/command/generation.go
@@ -152,6 +152,9 @@
 // relay runs r until it ends or its caller is gone, and sees to the permit.
 func (s *Service) relay(ctx context.Context, r *relay, who *access.Identity) result {
 	entry := s.running.add(r.id, who.TeamName, who.AccountName, r.held)
+	if r.held != nil {
+		r.held.OnMoved(func() { entry.end(errSuperseded) })
+	}
 	callCtx, cancel := context.WithCancelCause(entry.life)
 	stop := context.AfterFunc(ctx, func() { cancel(errCallerGone) })
 	res := r.run(callCtx)
@@ -166,6 +169,10 @@
 	if !s.running.remove(r.id, entry) {
 		return result{ending: superseded}
 	}
+	if res.ending == superseded {
+		r.held.Forget()
+		return res
+	}
 	s.settle(ctx, r, res)
 	return res
 }
--- a/internal/entry/command/relay.go
+++ b/internal/entry/command/relay.go
@@ -52,8 +52,9 @@
 	charge  func(n int)  // counts bytes that crossed regions; nil within the region
 	counts  *counters
 
-	conn *target.Stream
-	err  error // what the newest connection ended with
+	conn       *target.Stream
+	dispatched bool  // a connection was up
+	err        error // what the newest connection ended with
 }
 
 // run drives the relay until the stream is complete, cannot be continued, or
@@ -75,6 +76,7 @@
 		case stream.Reconnect:
 			r.counts.reconnects.Inc(1)
 			r.drop()
+			r.confirm(ctx)
 			if err := r.pause(ctx, r.seq.Delay()); err != nil {
 				r.err = err
 				continue
@@ -184,6 +186,7 @@
 		r.conn = nil
 		return r.ended(err)
 	}
+	r.dispatched = true
 	r.sink.accepted(r.id)
 	return pending{Input: stream.Input{Conn: r.seq.Conn(), Kind: stream.Activity}}
 }
@@ -200,6 +203,15 @@
 	return nil
 }
 
+// confirm asks whether the generation is still this instance's to read. The
+// target ends a stream when a newer reader comes: opening it again would take
+// the stream from the instance at which the caller resumed.
+func (r *relay) confirm(ctx context.Context) {
+	if r.held != nil && r.dispatched {
+		r.held.Confirm(ctx)
+	}
+}
+
 func (r *relay) pause(ctx context.Context, d time.Duration) error {
 	if d > 0 {
 		timer := time.NewTimer(d)
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -203,7 +203,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reports = append(f.reports, r)
-	return &api.ReportResponse{}, nil
+	answer := &api.ReportResponse{}
+	for _, p := range r.GetPermits() {
+		if holder, ok := f.granted[p.GetPermitId()]; ok && holder != r.GetHolderSession() {
+			answer.MovedPermits = append(answer.MovedPermits, p.GetPermitId())
+		}
+	}
+	return answer, nil
 }
 
 func (f *fakeOwner) Transfer(_ context.Context, r *api.TransferRequest) (*api.TransferResponse, error) {
--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -292,6 +292,40 @@
 	assert.Equal(t, b.owner.heldPermits(), 0)
 }
 
+// Guards against two instances that take a target's stream from each other: an
+// instance whose caller resumed elsewhere over a path that went silent learns
+// of it before it opens the stream again, and stops.
+func TestFormerInstanceDoesNotTakeTheStreamBack(t *testing.T) {
+	first := newBed(t)
+	second := startBed(t, newSource(t, 2), first.owner, "entry-2")
+	second.source.update(func(v *session.View) {
+		for _, a := range v.Assignments {
+			a.OwnerAddress = strings.TrimPrefix(first.base, "http://")
+		}
+	})
+	replaced := make(chan struct{})
+	engine := newEngine(t, func(c *engineConn) { c.open(); c.tokens(0, 3); <-replaced; c.cut() },
+		func(c *engineConn) {
+			c.open()
+			close(replaced) // a newer reader ends the older stream
+			c.tokens(3, 5)
+			time.Sleep(testTiming.Silence / 2) // time for the former instance to come back
+			c.tokens(5, 9)
+			c.finish(9)
+		})
+	first.offer("llm-1", engine.address())
+	resp, text := first.startStream(context.Background(), 3) // stays open: the caller's path is silent
+	defer resp.Body.Close()
+	id := tokensOf(t, text, 0, 3)
+	rest := second.call("GET", "/v1/generations/"+id+"?offset=3", callerKey, "")
+	tokensOf(t, rest.body, 3, 9)
+	_, err := io.ReadAll(resp.Body)
+	assert.ErrorContains(t, err, "unexpected EOF")
+	assert.Equal(t, engine.count("GET"), 1)
+	assert.Equal(t, engine.count("DELETE"), 0)
+	assert.Equal(t, first.owner.heldPermits(), 0)
+}
+
 // Guards against generations opened with the key of another account or with
 // made-up ids, and checks the numbered errors of resumes.
 func TestResumeErrors(t *testing.T) {
--- a/internal/entry/permit/book.go
+++ b/internal/entry/permit/book.go
@@ -29,6 +29,10 @@
 	Settle:  time.Second,
 }
 
+// confirmTimeout bounds the question whether a permit is still held: a broken
+// stream waits for it before it is opened again.
+const confirmTimeout = 250 * time.Millisecond
+
 // idleReports is how many empty reports a shard gets after its last use, so
 // that its owner learns of permits whose grant was lost on the way.
 const idleReports = 3
@@ -79,6 +83,30 @@
 	gapMax      time.Duration
 	gaps        int
 	preemptions uint32
+	onMoved     func() // called once the owner says that another instance holds the permit
+}
+
+// OnMoved sets what happens when the owner says that the permit has moved to
+// another instance.
+func (h *Held) OnMoved(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.onMoved = f
+}
+
+// Confirm asks the owner whether this instance still holds the permit, by a
+// report of the shard; see OnMoved. An owner that does not answer soon changes
+// nothing.
+func (h *Held) Confirm(ctx context.Context) {
+	owner, ok := h.book.owners.Of(h.book.source.View(), h.Shard)
+	if !ok {
+		return
+	}
+	if request := h.book.report(h.Shard, owner.Epoch, false); request != nil {
+		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		h.book.send(ctx, h.Shard, owner, request)
+	}
 }
 
 func (b *Book) shard(key session.ShardKey) *shardBook {
@@ -302,12 +330,33 @@
 		b.failed.Inc(1)
 		return
 	}
+	for _, h := range b.settle(key, request, answer) {
+		h.mu.Lock()
+		moved := h.onMoved
+		h.mu.Unlock()
+		if moved != nil {
+			moved()
+		}
+	}
+}
+
+// settle notes an owner's answer and returns the permits that have moved.
+func (b *Book) settle(key session.ShardKey, request *api.ReportRequest, answer *api.ReportResponse) []*Held {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s, ok := b.shards[key]; ok {
-		s.freeHint, s.queue = answer.GetFreePermits(), answer.GetQueueLength()
-		if request.GetFirstForEpoch() != 0 {
-			s.epoch = request.GetFirstForEpoch()
+	s, ok := b.shards[key]
+	if !ok {
+		return nil
+	}
+	s.freeHint, s.queue = answer.GetFreePermits(), answer.GetQueueLength()
+	if request.GetFirstForEpoch() != 0 {
+		s.epoch = request.GetFirstForEpoch()
+	}
+	var moved []*Held
+	for _, id := range answer.GetMovedPermits() {
+		if h := s.held[id]; h != nil {
+			moved = append(moved, h)
 		}
 	}
+	return moved
 }
--- a/internal/owner/command.go
+++ b/internal/owner/command.go
@@ -131,7 +131,10 @@
 	now := o.cfg.Clock.Now()
 	sh.state.Report(r.GetHolderSession(), r.GetPermits(), now)
 	o.schedule(sh, now)
-	return &api.ReportResponse{FreePermits: uint32(sh.state.FreePermits(now)), QueueLength: uint32(sh.state.QueueLength())}, nil
+	return &api.ReportResponse{
+		FreePermits: uint32(sh.state.FreePermits(now)), QueueLength: uint32(sh.state.QueueLength()),
+		MovedPermits: sh.state.Moved(r.GetHolderSession(), r.GetPermits()),
+	}, nil
 }
 
 // Transfer moves a permit to the instance at which the caller resumed.
--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -218,3 +218,14 @@
 		}
 	}
 }
+
+// Moved returns the permits of a holder's report that another holder has.
+func (s *Shard) Moved(holder uint64, list []*api.Progress) []string {
+	var out []string
+	for _, progress := range list {
+		if p := s.permits[progress.GetPermitId()]; p != nil && p.holder != holder {
+			out = append(out, p.id)
+		}
+	}
+	return out
+}
