--- /dev/null
+++ b/internal/entry/command/sink_test.go
@@ -0,0 +1,31 @@
+package command
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// Guards the last check of P1: a gap or repetition towards the caller is
+// caught, whatever let it through before.
+func TestOffsetsTowardsTheCallerAreChecked(t *testing.T) {
+	const finish = `{"id":"g","choices":[{"delta":{"content":"x"},"finish_reason":"stop"}]}`
+	sinks := map[string]sink{
+		"stream":     newCallerStream(httptest.NewRecorder(), DefaultTiming, 2),
+		"completion": newCompletion(httptest.NewRecorder(), "m", 1),
+	}
+	sinks["completion"].(*completion).next = 2
+	for name, s := range sinks {
+		s.accepted("g")
+		assert.NilError(t, s.token(2, []byte(finish)), name)
+		for _, offset := range []int{2, 4} {
+			for _, err := range []error{s.token(offset, []byte(finish)), s.finish(offset, []byte(finish))} {
+				assert.Equal(t, resultcode.From(err).Code, resultcode.InvariantViolation, name)
+			}
+		}
+		assert.NilError(t, s.finish(3, []byte(finish)), name)
+	}
+}
