--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -50,9 +51,12 @@
 	cfg     Config
 	metrics tally.Scope
 
+	orders *http.Client
+
 	mu     sync.Mutex
 	shards map[session.ShardKey]*shard
 
+	ctx    context.Context // ends with Stop
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -67,15 +71,20 @@
 	if cfg.Clock == nil {
 		cfg.Clock = SystemClock{}
 	}
-	return &Owner{cfg: cfg, metrics: cfg.Env.Metrics.SubScope("owner"), shards: map[session.ShardKey]*shard{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Owner{
+		cfg:     cfg,
+		metrics: cfg.Env.Metrics.SubScope("owner"),
+		orders:  newOrderClient(),
+		shards:  map[session.ShardKey]*shard{},
+		ctx:     ctx,
+		cancel:  cancel,
+	}
 }
 
 // Start begins to follow the assignments.
 func (o *Owner) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	o.cancel = cancel
-	o.done.Add(1)
-	go o.run(ctx)
+	o.done.Go(o.run)
 }
 
 // Stop ends all work; waiting calls are answered NOT_OWNER.
@@ -89,13 +98,12 @@
 	}
 }
 
-func (o *Owner) run(ctx context.Context) {
-	defer o.done.Done()
+func (o *Owner) run() {
 	for {
 		changed := o.cfg.Source.Changed()
 		o.step()
 		select {
-		case <-ctx.Done():
+		case <-o.ctx.Done():
 			return
 		case <-changed:
 		case <-o.cfg.Clock.After(tickInterval):
@@ -110,8 +118,11 @@
 	now := o.cfg.Clock.Now()
 	o.follow(o.cfg.Source.View(), now)
 	for _, sh := range o.shards {
-		sh.state.Tick(now)
+		for _, c := range sh.state.Tick(now) {
+			o.event("target_state", sh.key, "target", c.Target, "from", string(c.From), "to", string(c.To))
+		}
 		o.schedule(sh, now)
+		o.startOrders(sh, now)
 	}
 }
 
@@ -129,7 +140,7 @@
 			continue
 		}
 		if team, ok := view.Teams[key.Team]; ok {
-			o.shards[key] = newShard(key, a.GetEpoch(), team.Settings, now)
+			o.shards[key] = newShard(o.ctx, key, a.GetEpoch(), team.Settings, now)
 			o.event("shard_taken", key, "epoch", strconv.FormatUint(a.GetEpoch(), 10))
 		}
 	}
@@ -166,10 +177,15 @@
 	return sh
 }
 
-// schedule grants what can be granted. Without a valid freshness lease nothing
-// is granted: another instance may own the shard by now.
+// mayAct reports whether new work may start: without a valid freshness lease
+// another instance may own the shard by now.
+func (o *Owner) mayAct(sh *shard) bool {
+	return o.cfg.Source.Fresh() && o.assigned(o.cfg.Source.View(), sh.key, sh.epoch)
+}
+
+// schedule grants what can be granted.
 func (o *Owner) schedule(sh *shard, now time.Time) {
-	if !o.cfg.Source.Fresh() || !o.assigned(o.cfg.Source.View(), sh.key, sh.epoch) {
+	if !o.mayAct(sh) {
 		sh.expire(now)
 		return
 	}
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"time"
 
 	"github.com/endivetrack/endivetrack/api"
@@ -15,8 +16,14 @@
 	epoch    uint64
 	state    *scheduler.Shard
 	version  uint64 // of the view followed last
+	service  settings.Service
 	waiters  map[scheduler.Ticket]waiter
 	reported scheduler.Totals // already counted in metrics
+
+	taken     time.Time
+	nextOrder map[string]time.Time // by target; in the future while an order runs
+	ctx       context.Context      // ends with the ownership
+	cancel    context.CancelFunc
 }
 
 type waiter struct {
@@ -24,12 +31,17 @@
 	answer chan scheduler.Decision // holds one decision
 }
 
-func newShard(key session.ShardKey, epoch uint64, team *settings.Team, now time.Time) *shard {
+func newShard(parent context.Context, key session.ShardKey, epoch uint64, team *settings.Team, now time.Time) *shard {
+	ctx, cancel := context.WithCancel(parent)
 	return &shard{
-		key:     key,
-		epoch:   epoch,
-		state:   scheduler.New(epoch, team, key.Service, now),
-		waiters: map[scheduler.Ticket]waiter{},
+		key:       key,
+		epoch:     epoch,
+		state:     scheduler.New(epoch, team, key.Service, now),
+		waiters:   map[scheduler.Ticket]waiter{},
+		taken:     now,
+		nextOrder: map[string]time.Time{},
+		ctx:       ctx,
+		cancel:    cancel,
 	}
 }
 
@@ -39,7 +51,9 @@
 		return
 	}
 	s.version = view.Version
-	s.state.Configure(view.Teams[s.key.Team].Settings, s.key.Service)
+	team := view.Teams[s.key.Team].Settings
+	s.service = team.Services[s.key.Service]
+	s.state.Configure(team, s.key.Service)
 	live := make(map[uint64]bool, len(view.Instances))
 	for _, i := range view.Instances {
 		live[i.GetSessionId()] = true
@@ -65,8 +79,9 @@
 	}
 }
 
-// close answers all waiting calls NOT_OWNER.
+// close ends the ownership's work and answers all waiting calls NOT_OWNER.
 func (s *shard) close() {
+	s.cancel()
 	for ticket := range s.waiters {
 		s.answer(scheduler.Decision{Ticket: ticket, Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_NOT_OWNER})
 	}
--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -206,8 +206,9 @@
 	}
 }
 
-// Tick does the shard's periodic work.
-func (s *Shard) Tick(now time.Time) {
+// Tick does the shard's periodic work and returns the targets whose state has
+// changed.
+func (s *Shard) Tick(now time.Time) (changes []Change) {
 	maps.DeleteFunc(s.released, func(_ string, at time.Time) bool { return now.Sub(at) > releasedTTL })
 	maps.DeleteFunc(s.targets, func(_ string, t *target) bool {
 		return len(t.permits) == 0 && now.Sub(t.seen) > forgetAfter
@@ -216,5 +217,10 @@
 		if t.control(now, s.targetGap()) {
 			s.free(t)
 		}
+		if state := s.state(t, now); state != t.state {
+			changes = append(changes, Change{t.name, t.state, state})
+			t.state = state
+		}
 	}
+	return changes
 }
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -35,6 +35,38 @@
 	shortMemory = 30 * time.Second
 )
 
+// TargetState is how the owner sees a target.
+type TargetState string
+
+// States of targets.
+const (
+	TargetUnknown TargetState = ""        // not announced yet
+	TargetCold    TargetState = "cold"    // in its cold start ramp
+	TargetWarm    TargetState = "warm"    // at its learned limit
+	TargetLeaving TargetState = "leaving" // gets no new work, by its own wish
+	TargetSilent  TargetState = "silent"  // its lease has run out
+)
+
+// Change is a change of a target's state.
+type Change struct {
+	Target   string
+	From, To TargetState
+}
+
+func (s *Shard) state(t *target, now time.Time) TargetState {
+	switch {
+	case t.announcement == nil:
+		return TargetUnknown
+	case now.Sub(t.seen) > routing.TargetLease:
+		return TargetSilent
+	case t.announcement.GetLeaving():
+		return TargetLeaving
+	case !s.plain() && t.limit.Cold():
+		return TargetCold
+	}
+	return TargetWarm
+}
+
 // target is what the owner knows of one target.
 type target struct {
 	name         string
@@ -42,8 +74,9 @@
 	seen         time.Time
 	appeared     time.Time // first announcement
 	permits      map[string]*permit
-	shorts       int       // permits of short classes
-	idleSince    time.Time // when the last permit ended
+	shorts       int         // permits of short classes
+	idleSince    time.Time   // when the last permit ended
+	state        TargetState // at the last tick
 
 	limit  *admission.Limit // nil until the first announcement
 	margin admission.Margin
