client: send calls that may not be repeated over a new connection

Cause: TestAddresses failed now and then (broken pipe, EOF): after an instance had gone, a POST without a key went out on an idle connection, and its outcome was unknown although nothing ran. Ruled out: the address cache (the next address was never tried, rightly, since the outcome was unknown).

--- a/client/call.go
+++ b/client/call.go
@@ -86,7 +86,11 @@
 	set(r, "Content-Type", q.ContentType)
 	set(r, keyHeader, q.IdempotencyKey)
 	set(r, classHeader, q.Class)
-	resp, err := c.http.Do(r)
+	client := c.http
+	if !q.repeatable() {
+		client = c.fresh
+	}
+	resp, err := client.Do(r)
 	if err != nil {
 		c.addresses.failed(address)
 		return nil, sendError(err)
--- a/client/client.go
+++ b/client/client.go
@@ -55,6 +55,11 @@
 type Client struct {
 	cfg       Config
 	http      *http.Client
+	// fresh opens a connection for each call. A call that may not be sent
+	// again must not go out on an idle connection: when the instance has gone
+	// or the path has lost the connection, its outcome would be unknown, while
+	// a new connection that is refused proves that nothing ran.
+	fresh     *http.Client
 	transport *http.Transport
 	addresses *addresses
 }
@@ -80,7 +85,12 @@
 		MaxIdleConnsPerHost:   idlePerInstance,
 		DisableCompression:    true,
 	}
-	c := &Client{cfg: cfg, http: &http.Client{Transport: transport}, transport: transport}
+	single := transport.Clone()
+	single.DisableKeepAlives = true
+	c := &Client{
+		cfg: cfg, transport: transport,
+		http: &http.Client{Transport: transport}, fresh: &http.Client{Transport: single},
+	}
 	c.addresses = newAddresses(cfg, c.http)
 	return c, nil
 }
