--- a/client/client.go
+++ b/client/client.go
@@ -53,8 +53,8 @@
 
 // Client calls one deployment. It is safe for concurrent use.
 type Client struct {
-	cfg       Config
-	http      *http.Client
+	cfg  Config
+	http *http.Client
 	// fresh opens a connection for each call. A call that may not be sent
 	// again must not go out on an idle connection: when the instance has gone
 	// or the path has lost the connection, its outcome would be unknown, while
