--- a/standin/cmd/standin-loadgen/main.go
+++ b/standin/cmd/standin-loadgen/main.go
@@ -20,6 +20,7 @@
 
 type options struct {
 	profile, entries, keys, out string
+	caller                      string
 	drain                       time.Duration
 	maxTokens                   int
 	load                        loadgen.Load
@@ -31,6 +32,7 @@
 	flag.StringVar(&o.profile, "profile", "", "load.toml of the deployment")
 	flag.StringVar(&o.entries, "entries", "", "entry instances to ask for addresses, separated by commas")
 	flag.StringVar(&o.keys, "keys", "", "folder with the key of each account in a file account-NAME")
+	flag.StringVar(&o.caller, "caller", "both", "direct: own HTTP calls; client: the client package; both: in turn by account")
 	flag.StringVar(&o.out, "out", "", "file for the JSON report")
 	flag.Uint64Var(&o.load.Seed, "seed", 1, "seed of the arrivals")
 	flag.DurationVar(&o.load.Duration, "duration", 10*time.Second, "span in which requests arrive")
@@ -72,7 +74,10 @@
 			return err
 		}
 		place := p.Places[i%len(p.Places)]
-		caller := loadgen.NewDirect(strings.Split(o.entries, ","), place.Region, place.FailureDomain, strings.TrimSpace(string(key)))
+		caller, err := newCaller(o, i, place, strings.TrimSpace(string(key)))
+		if err != nil {
+			return err
+		}
 		defer caller.Close()
 		callers[i] = caller
 	}
@@ -91,3 +96,18 @@
 	}
 	return os.WriteFile(o.out, data, 0o644)
 }
+
+// closingCaller is a caller that keeps connections.
+type closingCaller interface {
+	loadgen.Caller
+	Close()
+}
+
+// newCaller returns the caller of account i.
+func newCaller(o options, i int, p loadgen.Place, key string) (closingCaller, error) {
+	seeds := strings.Split(o.entries, ",")
+	if o.caller == "client" || o.caller == "both" && i%2 == 1 {
+		return loadgen.NewProduct(seeds, p.Region, p.FailureDomain, key)
+	}
+	return loadgen.NewDirect(seeds, p.Region, p.FailureDomain, key), nil
+}
--- a/standin/verify/verify.go
+++ b/standin/verify/verify.go
@@ -24,7 +24,10 @@
 
 // Verdict counts what callers and stand-ins saw together.
 type Verdict struct {
-	Requests, Whole, Refused, Cut int
+	Requests, Whole, Refused int
+	// Cut are streams interrupted by a lost connection, as callers or engines
+	// counted them, resumed or not.
+	Cut int
 	// Lost are answers, tokens or acknowledged writes that are missing.
 	Lost int
 	// Duplicated are tokens delivered twice, writes that ran twice and
@@ -91,6 +94,7 @@
 
 func (v *Verdict) generations(engines []engine.Record, windows []Window) {
 	ran := map[string]string{}
+	resumes := 0
 	for _, e := range engines {
 		v.Preemptions += e.Preemptions
 		v.Failed += e.Failed
@@ -100,6 +104,7 @@
 		v.BusySeconds += e.BusySeconds
 		for _, w := range e.Work {
 			v.Generations++
+			resumes += w.Resumes
 			v.StallSeconds += float64(w.StallMicros) / 1e6
 			if other, twice := ran[w.ID]; twice {
 				v.Duplicated++
@@ -109,6 +114,8 @@
 			v.placed(e.Target, e.FailureDomain, w.AcceptedAt, e.LeavingAt, windows)
 		}
 	}
+	// A caller's resume reaches the engine too, so the larger count holds both.
+	v.Cut = max(v.Cut, resumes)
 }
 
 func (v *Verdict) calls(services []service.Record, windows []Window) {
