--- a/standin/verify/verify.go
+++ b/standin/verify/verify.go
@@ -42,10 +42,14 @@
 	OutWindowWork int
 	Foreign       int
 
-	Generations, Preemptions, Failed, Cancelled, OverloadSteps int
-	StallSeconds, RunningSeconds, BusySeconds                  float64
-	Executions                                                 int
-	Notes                                                      []string
+	// OverloadSteps are steps of engines that were given more while cold than
+	// they bear (docs/design.md, P2).
+	OverloadSteps int
+
+	Generations, Preemptions, Failed, Cancelled int
+	StallSeconds, RunningSeconds, BusySeconds   float64
+	Executions                                  int
+	Notes                                       []string
 }
 
 const maxNotes = 20
@@ -100,6 +104,9 @@
 		v.Failed += e.Failed
 		v.Cancelled += e.Cancelled
 		v.OverloadSteps += e.OverloadSteps
+		if e.OverloadSteps > 0 {
+			v.note("%s was given up to %d sequences while cold and fell over for %d steps", e.Target, e.PeakColdActive, e.OverloadSteps)
+		}
 		v.RunningSeconds += e.RunningSeconds
 		v.BusySeconds += e.BusySeconds
 		for _, w := range e.Work {
@@ -147,7 +154,7 @@
 // Ok reports whether every request was answered whole and no promise broke.
 func (v *Verdict) Ok() bool {
 	return v.Requests > 0 && v.Whole == v.Requests &&
-		v.Lost+v.Duplicated+v.Cut+v.FalseNotRun+v.LateWork+v.Foreign == 0
+		v.Lost+v.Duplicated+v.Cut+v.FalseNotRun+v.LateWork+v.Foreign+v.OverloadSteps == 0
 }
 
 // Add adds the counts of another deployment.
@@ -161,4 +168,5 @@
 	v.FalseNotRun += o.FalseNotRun
 	v.LateWork += o.LateWork
 	v.Foreign += o.Foreign
+	v.OverloadSteps += o.OverloadSteps
 }
--- a/standin/verify/verify_test.go
+++ b/standin/verify/verify_test.go
@@ -35,6 +35,7 @@
 		"back in service":  {engines: work(9_000_001)},
 		"leaving":          {engines: []engine.Record{{LeavingAt: 1, Work: []engine.Work{{AcceptedAt: 3_000_002}}}}, want: Verdict{LateWork: 1}},
 		"resumed":          {engines: []engine.Record{{Work: []engine.Work{{Resumes: 2}}}}, want: Verdict{Cut: 2}},
+		"cold overload":    {engines: []engine.Record{{OverloadSteps: 1}}},
 		"cut":              {report: loadgen.Report{Cut: 1}, want: Verdict{Cut: 1}},
 		"not whole":        {report: loadgen.Report{Requests: 1, Refused: 1}, want: Verdict{Requests: 1, Whole: -1, Refused: 1}},
 	} {
