--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,7 +2,8 @@
 # Runs both example deployments on loopback under load, changes a setting,
 # takes a failure domain out and back, stops an entry instance in a planned way,
 # and compares what callers saw with what the stand-ins ran.
-# Usage: demo.sh [SEED]; KEEP=1 keeps the run folder.
+# Usage: demo.sh [SEED]; KEEP=1 keeps the run folder, ENGINE_FLAGS are passed to
+# each engine, PORT_OFFSET is added to every port.
 set -euo pipefail
 source "$(dirname "$0")/lib.sh"
 seed=${1:-1}
@@ -35,7 +36,7 @@
   start_controls "$dir"
   wait_for 10 "$name: settings accepted" apply "$dir" "$name" "$dir/settings.toml"
   start_entries "$dir"
-  start_targets "$dir" "$name" "$seed" -cold-for 3s
+  start_targets "$dir" "$name" "$seed" -cold-for 3s ${ENGINE_FLAGS:-}
   wait_for 10 "$name: entry instances serve" all_entries_known "$dir"
   wait_for 10 "$name: targets announced" all_targets_announced "$dir"
   say "$name: $(instances "$dir" control | wc -l) control and $(instances "$dir" entry | wc -l) entry instances, $(instances "$dir" engine | wc -l) engines and $(instances "$dir" service | wc -l) services run"
