Measure what shard owners spend on targets and permits

make slopes now runs announcing targets and a holder that acquires, reports and releases permits against a real shard owner.

--- /dev/null
+++ b/bench/slopes/owner.go
@@ -0,0 +1,208 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/peerauth"
+	"github.com/endivetrack/endivetrack/internal/session"
+	"github.com/endivetrack/endivetrack/internal/timeline"
+	"github.com/endivetrack/endivetrack/standin/announce"
+	"github.com/endivetrack/endivetrack/standin/cluster"
+)
+
+// OwnerSize is one size of a shard owner's work.
+type OwnerSize struct {
+	Targets           int
+	RequestsPerSecond int
+}
+
+// OwnerCost is what one shard owner spent on it.
+type OwnerCost struct {
+	Size OwnerSize
+	// CPU in percent of a core and memory of the entry instance that owns the
+	// shard; Idle are those of another entry instance without a shard.
+	CPU, MB, IdleCPU, IdleMB float64
+	// KBPerRequest is what acquiring, reporting and releasing one permit puts
+	// on the wire, both ways.
+	KBPerRequest float64
+	Granted      int64
+}
+
+// ownerTargetMemory lets targets never be the limit of a permit measurement.
+const (
+	ownerTargetMemory  = 1 << 28
+	ownerTargetRunning = 4096
+	permitHold         = 200 * time.Millisecond
+	announceWarmup     = 3 * time.Second
+)
+
+// MeasureOwner runs announcing targets and a holder that acquires and releases
+// permits against one shard owner.
+func MeasureOwner(ctx context.Context, binDir string, size OwnerSize) (OwnerCost, error) {
+	dir, err := os.MkdirTemp("", "slopes")
+	if err != nil {
+		return OwnerCost{}, err
+	}
+	defer os.RemoveAll(dir)
+	c, err := cluster.New(cluster.Options{BinDir: binDir, Dir: dir, Controls: baseVoters, Entries: 3, Accounts: baseAccounts})
+	if err != nil {
+		return OwnerCost{}, err
+	}
+	defer c.Stop()
+	startCtx, cancelStart := context.WithTimeout(ctx, startTimeout)
+	defer cancelStart()
+	if err := c.Start(startCtx); err != nil {
+		return OwnerCost{}, err
+	}
+	peerKey, err := os.ReadFile(filepath.Join(dir, "peer.key"))
+	if err != nil {
+		return OwnerCost{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := announceTargets(ctx, c, size.Targets); err != nil {
+		return OwnerCost{}, err
+	}
+	nodes := startNodes(ctx, 1, addresses(c.Controls), string(peerKey[:len(peerKey)-1]))
+	defer nodes.stop()
+	holder := nodes.sessions[0]
+	shard := session.ShardKey{Team: cluster.Team, Service: cluster.EngineService, Region: cluster.Places[0].Region}
+	ownerOf := func() string { return holder.View().Assignments[shard].GetOwnerAddress() }
+	if err := cluster.WaitUntil(startCtx, "a shard owner", func() bool { return holder.Fresh() && ownerOf() != "" }); err != nil {
+		return OwnerCost{}, err
+	}
+	time.Sleep(announceWarmup)
+	return sampleOwner(ctx, c, size, holder, shard, ownerOf(), string(peerKey[:len(peerKey)-1]))
+}
+
+// announceTargets starts announcing targets of one region.
+func announceTargets(ctx context.Context, c *cluster.Cluster, n int) error {
+	key, err := os.ReadFile(filepath.Join(c.Dir, "target.key"))
+	if err != nil {
+		return err
+	}
+	for i := range n {
+		m := announce.Message{
+			Team: cluster.Team, Service: cluster.EngineService, Target: fmt.Sprintf("engine-%04d", i), Incarnation: "1",
+			Address: fmt.Sprintf("127.0.%d.%d:9000", 10+i/250, 1+i%250), Region: cluster.Places[0].Region,
+			FailureDomain: cluster.Places[i%2].FailureDomain, Models: []string{cluster.Model},
+			MaxRunning: ownerTargetRunning, MemoryTokens: ownerTargetMemory, ReportedRunning: ownerTargetRunning,
+		}
+		a := announce.New(addresses(c.Entries[:2]), string(key[:len(key)-1]), func() announce.Message { return m })
+		go a.Run(ctx, nil)
+	}
+	return nil
+}
+
+func sampleOwner(ctx context.Context, c *cluster.Cluster, size OwnerSize, holder *session.Session, shard session.ShardKey, address, peerKey string) (OwnerCost, error) {
+	cost := OwnerCost{Size: size}
+	bytes := &byteCounter{}
+	client := &http.Client{Transport: timeline.NewClock(time.Now).Transport(peerauth.Transport(peerKey, bytes.transport()))}
+	load := &permitLoad{
+		owner: api.NewAdmissionCommandProtobufClient("http://"+address, client), shard: shard.Proto(), holder: holder.SessionID(),
+		held: map[string]string{},
+	}
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	var done sync.WaitGroup
+	if size.RequestsPerSecond > 0 {
+		done.Go(func() { load.run(loadCtx, size.RequestsPerSecond) })
+	}
+	defer done.Wait()
+	defer stopLoad()
+	time.Sleep(settleTime)
+	grantedBefore, bytesBefore := load.granted.Load(), bytes.total()
+	var owner, idle *cluster.Process
+	for _, e := range c.Entries {
+		if e.Address == address {
+			owner = e
+		} else {
+			idle = e // in the other region or without this shard
+		}
+	}
+	var err error
+	var resident, idleResident int64
+	var idleErr error
+	var both sync.WaitGroup
+	both.Go(func() { cost.IdleCPU, idleResident, idleErr = CPUShare(ctx, idle.PID(), sampleTime) })
+	cost.CPU, resident, err = CPUShare(ctx, owner.PID(), sampleTime)
+	both.Wait()
+	cost.MB, cost.IdleMB = float64(resident)/(1<<20), float64(idleResident)/(1<<20)
+	cost.Granted = load.granted.Load() - grantedBefore
+	if cost.Granted > 0 {
+		cost.KBPerRequest = float64(bytes.total()-bytesBefore) / 1000 / float64(cost.Granted)
+	}
+	if err == nil {
+		err = idleErr
+	}
+	return cost, err
+}
+
+// permitLoad acquires, reports and releases permits as an entry instance does.
+type permitLoad struct {
+	owner   api.AdmissionCommand
+	shard   *api.Shard
+	holder  uint64
+	granted atomic.Int64
+
+	mu   sync.Mutex
+	held map[string]string // permit id, target
+}
+
+func (l *permitLoad) run(ctx context.Context, perSecond int) {
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	report := time.NewTicker(time.Second)
+	defer report.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-report.C:
+			go l.report(ctx)
+		case <-ticker.C:
+			go l.request(ctx, i)
+		}
+	}
+}
+
+func (l *permitLoad) request(ctx context.Context, i int) {
+	resp, err := l.owner.Acquire(ctx, &api.AcquireRequest{
+		Shard: l.shard, HolderSession: l.holder, RequestId: fmt.Sprintf("r-%d", i), WaitMs: 1000,
+		Request: &api.RequestClass{Account: "account-1", Model: cluster.Model, Class: cluster.LongClass, PromptTokens: 200, MaxTokens: 2000,
+			PrefixHashes: []uint64{1, 2, 3, 4}},
+	})
+	if err != nil || resp.GetPermit() == nil {
+		return
+	}
+	l.granted.Add(1)
+	p := resp.GetPermit()
+	l.mu.Lock()
+	l.held[p.GetId()] = p.GetTarget()
+	l.mu.Unlock()
+	time.Sleep(permitHold)
+	l.mu.Lock()
+	delete(l.held, p.GetId())
+	l.mu.Unlock()
+	_, _ = l.owner.Release(ctx, &api.ReleaseRequest{
+		Shard: l.shard, HolderSession: l.holder, Reason: api.ReleaseReason_RELEASE_REASON_FINISHED,
+		Final: &api.Progress{PermitId: p.GetId(), Target: p.GetTarget(), OutputTokens: 300, FirstTokenMs: 40, MeanGapUs: 20_000, MaxGapUs: 30_000},
+	})
+}
+
+func (l *permitLoad) report(ctx context.Context) {
+	req := &api.ReportRequest{Shard: l.shard, HolderSession: l.holder}
+	l.mu.Lock()
+	for id, target := range l.held {
+		req.Permits = append(req.Permits, &api.Progress{PermitId: id, Target: target, OutputTokens: 10, FirstTokenMs: 40, MeanGapUs: 20_000})
+	}
+	l.mu.Unlock()
+	_, _ = l.owner.Report(ctx, req)
+}
