entry: bound the time and size of answers, keep streams over a new session

Answers of plain services are bounded by the service's body bound, at least 1 MiB, and every answer by the time in which the caller must accept it.

After a new session of this instance the owner shows its permits under the old one for a while; that is no move to another instance (TestNewSessionIsNoMove).

--- a/internal/entry/command/plain.go
+++ b/internal/entry/command/plain.go
@@ -28,9 +28,10 @@
 	keyHeader      = "Idempotency-Key"
 	replayedHeader = "X-Endivetrack-Replayed"
 	maxKeyBytes    = 128
-	// maxAnswerBytes bounds an answer of a plain service; it is kept in memory
-	// until it is complete, since a cut answer must not reach the caller.
-	maxAnswerBytes = 16 << 20
+	// minAnswerBound is the bound on an answer of a plain service whose bodies
+	// have a smaller bound. Answers are kept in memory until they are complete,
+	// since a cut answer must not reach the caller.
+	minAnswerBound = 1 << 20
 )
 
 // plainCall is one call to a plain service while it runs.
@@ -119,7 +120,7 @@
 		request: &api.RequestClass{Account: id.AccountName, Class: name, PromptTokens: classify.PromptTokens(len(body))},
 		send: target.Request{
 			Method: r.Method, URI: uri.RequestURI(), ContentType: r.Header.Get("Content-Type"),
-			IdempotencyKey: key, Body: body, MaxAnswer: maxAnswerBytes,
+			IdempotencyKey: key, Body: body, MaxAnswer: max(spec.MaxBodyBytes, minAnswerBound),
 		},
 	}, nil
 }
@@ -140,6 +141,7 @@
 	if a.ContentType != "" {
 		w.Header().Set("Content-Type", a.ContentType)
 	}
+	reply.LimitWrite(w)
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body) // a caller that is gone cannot be told
 }
--- a/internal/entry/command/registry.go
+++ b/internal/entry/command/registry.go
@@ -56,6 +56,14 @@
 	return mine
 }
 
+// foreign reports whether the generation runs here for another account.
+func (g *registry) foreign(id, team, account string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.byID[id]
+	return r != nil && (r.team != team || r.account != account)
+}
+
 // take stops the relay of a generation of the account and returns it; nil if
 // there is none.
 func (g *registry) take(id, team, account string) *running {
--- a/internal/entry/command/resume.go
+++ b/internal/entry/command/resume.go
@@ -73,6 +73,9 @@
 // permit (the generation has ended, or its owner does not know it yet) only
 // what the target still buffers can be read.
 func (s *Service) takeOver(ctx context.Context, who *access.Identity, id string, place query.Place) (*permit.Held, string, error) {
+	if s.running.foreign(id, who.TeamName, who.AccountName) {
+		return nil, "", resultcode.Newf(resultcode.Forbidden, "generation %q belongs to another account", id)
+	}
 	if local := s.running.take(id, who.TeamName, who.AccountName); local != nil && local.held != nil {
 		return local.held, local.held.Permit.GetAddress(), nil
 	}
--- a/internal/entry/command/service.go
+++ b/internal/entry/command/service.go
@@ -130,6 +130,7 @@
 	if errors.Is(err, &resultcode.Error{Code: resultcode.InvariantViolation}) {
 		s.counts.violations.Inc(1)
 		s.Log.Error().Err(err).Msg("invariant violated")
+		s.Timeline.Record("invariant_violation", "what", err.Error())
 	}
 }
 
--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -344,6 +344,7 @@
 		{"/v1/generations/" + id + "?offset=-1", callerKey, 1010},
 		{"/v1/generations/" + id + "?offset=x", callerKey, 1010},
 		{"/v1/generations/" + id + "?offset=0", "", 1002},
+		{"/v1/generations/" + id + "?offset=0", otherKey, 1003},
 		{"/v1/generations/g1.llm.llm-1.p9~9-00?offset=4", callerKey, 1009},
 	} {
 		code, execution := b.call("GET", c.path, c.key, "").code(t)
--- a/internal/entry/permit/book.go
+++ b/internal/entry/permit/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,6 +75,10 @@
 	book    *Book
 	started time.Time
 
+	// session is the one under which the owner knows the permit; guarded by
+	// the book.
+	session uint64
+
 	mu          sync.Mutex
 	released    bool
 	tokens      uint32
@@ -139,7 +144,7 @@
 // Add notes a granted permit. epoch is that of the owner which granted it and
 // so needs no first report of it.
 func (b *Book) Add(key session.ShardKey, p *api.Permit, request *api.RequestClass, now time.Time) *Held {
-	h := &Held{Shard: key, Permit: p, Request: request, book: b, started: now}
+	h := &Held{Shard: key, Permit: p, Request: request, book: b, started: now, session: b.source.SessionID()}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.shard(key)
@@ -352,11 +357,23 @@
 	if request.GetFirstForEpoch() != 0 {
 		s.epoch = request.GetFirstForEpoch()
 	}
-	var moved []*Held
-	for _, id := range answer.GetMovedPermits() {
-		if h := s.held[id]; h != nil {
-			moved = append(moved, h)
+	return s.moved(request, answer.GetMovedPermits())
+}
+
+// moved returns the permits that another instance holds. After this instance
+// got a new session, an owner still shows its permits under the old one for a
+// while: that is no move.
+func (s *shardBook) moved(request *api.ReportRequest, ids []string) []*Held {
+	var out []*Held
+	for _, p := range request.GetPermits() {
+		h := s.held[p.GetPermitId()]
+		switch {
+		case h == nil:
+		case !slices.Contains(ids, p.GetPermitId()):
+			h.session = request.GetHolderSession()
+		case h.session == request.GetHolderSession():
+			out = append(out, h)
 		}
 	}
-	return moved
+	return out
 }
--- a/internal/entry/permit/permit_test.go
+++ b/internal/entry/permit/permit_test.go
@@ -137,6 +137,22 @@
 	assert.Equal(t, slices, 3)
 }
 
+// Guards running streams when this instance gets a new session: the owner still
+// shows their permits under the old one, which must not be taken for a move.
+func TestNewSessionIsNoMove(t *testing.T) {
+	a, _, _ := newAcquirer(1, "home")
+	key := shard("home", 0)
+	a.book.Add(key, &api.Permit{Id: "p", Epoch: 1}, nil, time.Now())
+	answer := func(session uint64, ids ...string) int {
+		request := &api.ReportRequest{HolderSession: session, Permits: []*api.Progress{{PermitId: "p"}}}
+		return len(a.book.settle(key, request, &api.ReportResponse{MovedPermits: ids}))
+	}
+	assert.Equal(t, answer(1), 0)
+	assert.Equal(t, answer(2, "p"), 0) // still under session 1 at the owner
+	assert.Equal(t, answer(2), 0)      // taken up under session 2
+	assert.Equal(t, answer(2, "p"), 1)
+}
+
 // Guards the share of retries: over any history they stay within the
 // percentage of requests and the reserve.
 func TestRetryBudgetBound(t *testing.T) {
--- a/internal/entry/reply/reply.go
+++ b/internal/entry/reply/reply.go
@@ -19,8 +19,17 @@
 // target's own.
 const CodeHeader = "X-Endivetrack-Code"
 
-// bodyReadTimeout bounds how long a caller may take to send a body.
-const bodyReadTimeout = 10 * time.Second
+// Bounds on how long a caller may take to send a body and to accept an answer.
+const (
+	bodyReadTimeout    = 10 * time.Second
+	answerWriteTimeout = 10 * time.Second
+)
+
+// LimitWrite bounds the time in which the caller must accept an answer. net/http
+// removes the bound after the request.
+func LimitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWriteTimeout)) // not supported by in-memory writers
+}
 
 // body is the JSON form of an error.
 type body struct {
@@ -58,6 +67,7 @@
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
+	LimitWrite(w)
 	w.WriteHeader(e.Code.HTTPStatus())
 	_, _ = w.Write(ErrorJSON(err)) // a caller that is gone cannot be told
 }
@@ -70,7 +80,8 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(out)
+	LimitWrite(w)
+	_, _ = w.Write(out) // a caller that is gone cannot be told
 }
 
 // ReadBody reads a request body of at most limit bytes in bounded time.
--- a/internal/stream/sequencer_test.go
+++ b/internal/stream/sequencer_test.go
@@ -81,9 +81,11 @@
 		w.step(Input{Conn: conn, Kind: Broken})
 	case 9: // a late event of an abandoned connection
 		if len(w.stale) > 0 {
-			in := rapid.SampledFrom(w.stale).Draw(w.t, "stale")
+			in := rapid.SampledFrom(append(w.stale, Input{Kind: Broken}, Input{Kind: Malformed})).Draw(w.t, "stale")
 			in.Conn = conn - 1
-			w.step(in)
+			if a := w.seq.Step(w.now, in); a != Ignore {
+				w.t.Fatalf("event of an abandoned connection: %v", a)
+			}
 		}
 	case 10: // an end mark where it does not belong
 		if w.sent < w.length {
