--- a/internal/entry/command/generation.go
+++ b/internal/entry/command/generation.go
@@ -128,7 +128,7 @@
 		if err := faultpoint.Hit(pointBeforeStart); err != nil {
 			return err
 		}
-		return s.mayDispatch(g.id.TeamName, g.Service, held.Permit)
+		return s.mayDispatch(g.id, g.Service, held.Permit)
 	}
 	if r.charge != nil {
 		r.charge(len(g.Body))
--- a/internal/entry/command/plain.go
+++ b/internal/entry/command/plain.go
@@ -169,7 +169,7 @@
 		}
 		wanted.Exclude = append(wanted.Exclude, held.Permit.GetTarget())
 		mayHaveRun = mayHaveRun || !isNotSent(err)
-		again := ctx.Err() == nil && (read || isNotSent(err)) && !errors.Is(err, target.ErrTooLarge)
+		again := ctx.Err() == nil && (read || isNotSent(err)) && elsewhereHelps(err) && !errors.Is(err, target.ErrTooLarge)
 		if !again || !s.Retries.Take(call.id.TeamName, call.id.Team.Policy.RetryPercent) {
 			return nil, plainError(err, mayHaveRun)
 		}
@@ -204,7 +204,7 @@
 	send.RequestID = stream.NewUnique()
 	began := time.Now()
 	answer, err := target.Call(ctx, held.Permit.GetAddress(), send, func() error {
-		return s.mayDispatch(call.id.TeamName, call.service, held.Permit)
+		return s.mayDispatch(call.id, call.service, held.Permit)
 	})
 	s.release(ctx, held, s.plainReason(held, answer, err))
 	s.countCrossed(answer, err)
--- a/internal/entry/command/relay.go
+++ b/internal/entry/command/relay.go
@@ -276,7 +276,7 @@
 	case delivered > 0:
 		res.err = resultcode.Newf(r.seq.Code(), "generation %s: %v", r.id, r.err).WithExecution(resultcode.Ran)
 	case errors.As(r.err, &notSent):
-		res.err = notSentError(notSent)
+		res.err, res.restart = notSentError(notSent), res.restart && elsewhereHelps(notSent)
 	case errors.As(r.err, &status) && status.NotRun:
 		res.err = resultcode.Newf(resultcode.Overloaded, "the target is full").WithRetryAfter(retryFull)
 	case errors.As(r.err, &status) && r.dispatching():
@@ -289,6 +289,13 @@
 	return res
 }
 
+// elsewhereHelps reports whether another target may take what was not sent:
+// the refusal was about the target, not about the request or this instance.
+func elsewhereHelps(err error) bool {
+	var coded *resultcode.Error
+	return !errors.As(err, &coded) || coded.Code == resultcode.NoTarget
+}
+
 // notSentError gives the refusal of the check before the dispatch, or says that
 // the target could not be reached.
 func notSentError(err *target.NotSentError) *resultcode.Error {
--- a/internal/entry/command/service.go
+++ b/internal/entry/command/service.go
@@ -19,6 +19,7 @@
 	"github.com/endivetrack/endivetrack/internal/entry/target"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 	"github.com/endivetrack/endivetrack/internal/session"
+	"github.com/endivetrack/endivetrack/internal/settings"
 	"github.com/endivetrack/endivetrack/internal/stream"
 	"github.com/endivetrack/endivetrack/internal/timeline"
 )
@@ -148,12 +149,15 @@
 	return id, done, nil
 }
 
-// mayDispatch is the check right before a dispatch: the newest settings let
-// new work go to the target, and the freshness lease makes sure that they are
+// mayDispatch is the check right before a dispatch: the newest settings still
+// let the account call the service and new work go to the target, and the freshness lease makes sure that they are
 // the newest ones. The lease is read last.
-func (s *Service) mayDispatch(teamName, service string, p *api.Permit) error {
-	team, ok := s.Source.View().Teams[teamName]
-	if !ok || !team.Settings.FailureDomainInService(p.GetFailureDomain()) ||
+func (s *Service) mayDispatch(id *access.Identity, service string, p *api.Permit) error {
+	team, ok := s.Source.View().Teams[id.TeamName]
+	if !ok || !stillMayCall(team.Settings, id, service) {
+		return resultcode.Newf(resultcode.Forbidden, "account %q may not call service %q any more", id.AccountName, service)
+	}
+	if !team.Settings.FailureDomainInService(p.GetFailureDomain()) ||
 		slices.Contains(team.Settings.Services[service].DrainedTargets, p.GetTarget()) {
 		s.counts.refusedDomain.Inc(1)
 		return resultcode.Newf(resultcode.NoTarget, "target %q may not get new work", p.GetTarget()).WithRetryAfter(retryFull)
@@ -165,6 +169,11 @@
 	return nil
 }
 
+func stillMayCall(team *settings.Team, id *access.Identity, service string) bool {
+	account, ok := team.Accounts[id.AccountName]
+	return ok && (&access.Identity{Account: account}).MayCall(service)
+}
+
 // regions returns the team's regions, this instance's own first.
 func (s *Service) regions(id *access.Identity) []string {
 	out := []string{s.Region}
--- a/internal/entry/command/write.go
+++ b/internal/entry/command/write.go
@@ -181,7 +181,7 @@
 			return nil, outcomeUnknown(err.Error())
 		}
 		wanted.Exclude = append(wanted.Exclude, held.Permit.GetTarget())
-		if ctx.Err() != nil || !s.Retries.Take(call.id.TeamName, call.id.Team.Policy.RetryPercent) {
+		if ctx.Err() != nil || !elsewhereHelps(err) || !s.Retries.Take(call.id.TeamName, call.id.Team.Policy.RetryPercent) {
 			return nil, s.abort(ctx, call, attempt, resultcode.From(plainError(err, false)))
 		}
 		s.counts.restarted.Inc(1)
@@ -197,7 +197,7 @@
 		if err := faultpoint.Hit(PointBeforeSend); err != nil {
 			return err
 		}
-		return s.mayDispatch(call.id.TeamName, call.service, p)
+		return s.mayDispatch(call.id, call.service, p)
 	})
 	ended(answer, err)
 	if fault := faultpoint.Hit(PointAfterSend); fault != nil && !isNotSent(err) {
