--- a/internal/entry/command/announce.go
+++ b/internal/entry/command/announce.go
@@ -283,13 +283,13 @@
 	return out
 }
 
-// address returns the address of a target that announced here lately, or "".
-func (a *announced) address(team, service, target string) string {
+// find returns a target that announced here lately.
+func (a *announced) find(team, service, target string) (announcedTarget, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t := a.targets[announcedKey{team, service, target}]
 	if t == nil || time.Since(t.at) > announcementLease {
-		return ""
+		return announcedTarget{}, false
 	}
-	return t.announcement.GetAddress()
+	return *t, true
 }
--- a/internal/entry/command/resume.go
+++ b/internal/entry/command/resume.go
@@ -102,12 +102,19 @@
 			address = found
 		}
 	}
-	if address == "" {
-		address = s.targets.address(who.TeamName, place.Service, place.Target)
+	if address != "" {
+		return nil, address, nil
+	}
+	if known, ok := s.targets.find(who.TeamName, place.Service, place.Target); ok && !reached {
+		// The shard has no owner now. The next one learns from this instance's
+		// report that the generation runs, and who holds it.
+		p := &api.Permit{
+			Id: permitOf(place.Unique), Target: place.Target,
+			Address: known.announcement.GetAddress(), FailureDomain: known.announcement.GetFailureDomain(),
+		}
+		return s.Book.Add(known.key, p, nil, time.Now()), p.GetAddress(), nil
 	}
 	switch {
-	case address != "":
-		return nil, address, nil
 	case !reached:
 		return nil, "", resultcode.Newf(resultcode.NoOwner, "no owner of the generation's shard can be reached").WithRetryAfter(time.Second)
 	default:
--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -303,6 +303,34 @@
 	assert.Equal(t, first.owner.heldPermits(), 0)
 }
 
+// Guards a resume while the shard has no owner: the stream goes on, and the
+// next owner learns that this instance holds the permit.
+func TestResumeWithoutAnOwner(t *testing.T) {
+	b := newBed(t)
+	hold := make(chan struct{})
+	engine := newEngine(t, func(c *engineConn) { c.open(); c.tokens(c.offset, 4); <-hold; c.tokens(4, 6); c.finish(6) })
+	b.announce(targetKey, strings.Replace(announcement, "127.0.0.1:9000", engine.address(), 1))
+	b.source.update(func(v *session.View) { v.Assignments = map[session.ShardKey]*api.Assignment{} })
+	got := make(chan answer)
+	go func() { got <- b.call("GET", "/v1/generations/g1.llm.llm-1.p1~5-00ff?offset=2", callerKey, "") }()
+	eventually(t, "stream", func() bool { return engine.count("GET") == 1 })
+	b.source.update(func(v *session.View) {
+		v.Assignments = map[session.ShardKey]*api.Assignment{{Team: "farm", Service: "llm", Region: "home"}: {OwnerSession: 1, Epoch: 8}}
+	})
+	eventually(t, "report to the new owner", func() bool {
+		b.owner.mu.Lock()
+		defer b.owner.mu.Unlock()
+		for _, r := range b.owner.reports {
+			if r.GetFirstForEpoch() == 8 && r.GetPermits()[0].GetPermitId() == "p1.5" {
+				return true
+			}
+		}
+		return false
+	})
+	close(hold)
+	tokensOf(t, (<-got).body, 2, 6)
+}
+
 // Guards against two connections of one caller that displace each other: the
 // newer one takes the generation over within the instance.
 func TestResumeAtTheSameInstance(t *testing.T) {
