--- a/internal/entry/access_test.go
+++ b/internal/entry/access_test.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -44,6 +46,30 @@
 	assert.Equal(t, r.status, http.StatusUnauthorized)
 }
 
+// Guards against an account that escapes its limit by leaving: a generation
+// that runs on without its caller keeps its place.
+func TestAbandonedGenerationKeepsItsPlace(t *testing.T) {
+	b := newBed(t)
+	b.offer("llm-1", newEngine(t, func(c *engineConn) { c.open(); c.tokens(0, 1); c.silent() }).address())
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, err := b.request(ctx, "POST", "/v1/chat/completions", otherKey, streamBody)
+	assert.NilError(t, err)
+	cancel()
+	resp.Body.Close()
+	code, _ := b.call("POST", "/v1/chat/completions", otherKey, streamBody).code(t)
+	assert.Equal(t, code, 2002)
+	b.entry.commands.Wait()
+	eventually(t, "place freed", func() bool {
+		id, err := b.entry.commands.Directory.Authenticate(http.Header{"Authorization": {"Bearer " + otherKey}})
+		assert.NilError(t, err)
+		done, err := b.entry.commands.Limiter.Admit(time.Now(), id)
+		if err == nil {
+			done()
+		}
+		return err == nil
+	})
+}
+
 // Guards against an account that takes more than its limits.
 func TestAccountLimits(t *testing.T) {
 	b := newBed(t)
--- a/internal/entry/command/generation.go
+++ b/internal/entry/command/generation.go
@@ -34,6 +34,11 @@
 	// cannot be called "not run" any more.
 	mayHaveRun bool
 	exclude    []string
+	began      time.Time
+	// done ends the request's place in the account's limits. A generation that
+	// runs on without its caller keeps the place until it ends.
+	done   func()
+	runsOn bool
 }
 
 // Generate serves POST /v1/chat/completions.
@@ -43,7 +48,12 @@
 	if err != nil {
 		return err
 	}
-	defer done()
+	g := &generation{id: id, done: done, began: time.Now()}
+	defer func() {
+		if !g.runsOn {
+			done()
+		}
+	}()
 	body, err := reply.ReadBody(w, r, largestBody(id))
 	if err != nil {
 		return err
@@ -53,7 +63,7 @@
 		return err
 	}
 	s.counts.generations.Inc(1)
-	g := &generation{Generation: parsed, id: id}
+	g.Generation = parsed
 	if parsed.Stream {
 		g.sink = newCallerStream(w, s.Timing, 0)
 	} else {
@@ -123,7 +133,7 @@
 	}
 	id := stream.GenerationID(g.Service, held.Permit.GetTarget(), uniquePart(held))
 	r := s.newRelay(id, g.id, held, g.sink, 0)
-	r.address, r.body = held.Permit.GetAddress(), g.Body
+	r.address, r.body, r.request, r.began = held.Permit.GetAddress(), g.Body, g, g.began
 	r.before = func() error {
 		if err := faultpoint.Hit(pointBeforeStart); err != nil {
 			return err
@@ -139,7 +149,7 @@
 // newRelay returns a relay with what all relays share.
 func (s *Service) newRelay(id string, who *access.Identity, held *permit.Held, to sink, offset int) *relay {
 	r := &relay{
-		engine: s.engine, id: id, held: held, sink: to, counts: s.counts,
+		engine: s.engine, id: id, held: held, sink: to, counts: s.counts, latencies: s.Latencies,
 		seq:     stream.NewSequencer(id, offset, s.Timing.Silence, time.Now()),
 		decoder: stream.NewDecoder(id),
 	}
@@ -162,7 +172,15 @@
 	cancel(nil)
 	if res.ending == callerGone {
 		s.counts.callersGone.Inc(1)
-		s.work.Go(func() { s.runOn(r, entry) })
+		if r.request != nil {
+			r.request.runsOn = true
+		}
+		s.work.Go(func() {
+			s.runOn(r, entry)
+			if r.request != nil {
+				r.request.done()
+			}
+		})
 		return res
 	}
 	r.drop()
--- a/internal/entry/command/plain.go
+++ b/internal/entry/command/plain.go
@@ -42,6 +42,8 @@
 	class   settings.Class
 	request *api.RequestClass
 	send    target.Request
+	// sent: a byte of a protected write may have left for a target.
+	sent bool
 }
 
 // Plain serves ANY /v1/services/{service}/{path}.
--- a/internal/entry/command/relay.go
+++ b/internal/entry/command/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/endivetrack/endivetrack/internal/entry/latency"
 	"github.com/endivetrack/endivetrack/internal/entry/permit"
 	"github.com/endivetrack/endivetrack/internal/entry/target"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
@@ -51,7 +52,13 @@
 	before  func() error // check right before the first dispatch
 	charge  func(n int)  // counts bytes that crossed regions; nil within the region
 	counts  *counters
+	// request is the caller's request, and began when it came; nil and zero
+	// when the generation is resumed.
+	request   *generation
+	began     time.Time
+	latencies *latency.Streams
 
+	lastToken  time.Time
 	conn       *target.Stream
 	dispatched bool  // a connection was up
 	err        error // what the newest connection ended with
@@ -92,9 +99,7 @@
 	action := r.seq.Step(now, in.Input)
 	switch action {
 	case stream.Deliver:
-		if r.held != nil {
-			r.held.Token(now)
-		}
+		r.measure(now)
 		r.counts.tokens.Inc(1)
 		r.note(in, r.sink.token(in.Offset, in.data))
 	case stream.DeliverFinish:
@@ -103,6 +108,20 @@
 	return action
 }
 
+// measure notes the time of a token.
+func (r *relay) measure(now time.Time) {
+	if r.held != nil {
+		r.held.Token(now)
+	}
+	switch {
+	case !r.lastToken.IsZero():
+		r.latencies.Gap(now.Sub(r.lastToken))
+	case !r.began.IsZero():
+		r.latencies.First(now.Sub(r.began))
+	}
+	r.lastToken = now
+}
+
 // note keeps a sink's error, flushes when no more input waits, and charges the
 // link between regions.
 func (r *relay) note(in pending, err error) {
--- a/internal/entry/command/service.go
+++ b/internal/entry/command/service.go
@@ -15,6 +15,7 @@
 
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/entry/access"
+	"github.com/endivetrack/endivetrack/internal/entry/latency"
 	"github.com/endivetrack/endivetrack/internal/entry/permit"
 	"github.com/endivetrack/endivetrack/internal/entry/target"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
@@ -63,6 +64,7 @@
 	Book      *permit.Book
 	Retries   *permit.RetryBudget
 	Link      *permit.LinkBudget
+	Latencies *latency.Streams
 	Control   api.ControlCommand
 	Timing    Timing
 	Log       zerolog.Logger
--- a/internal/entry/command/write.go
+++ b/internal/entry/command/write.go
@@ -191,6 +191,12 @@
 func (s *Service) dispatchWrite(ctx context.Context, call *plainCall, requestID string, p *api.Permit, ended func(*target.Answer, error)) (*target.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.spec.CallTimeout())
 	defer cancel()
+	if call.sent {
+		err := invariant("a protected write was about to be sent twice")
+		s.report(err)
+		ended(nil, err)
+		return nil, err
+	}
 	send := call.send
 	send.RequestID, send.ReadOn = requestID, true
 	answer, err := target.Call(ctx, p.GetAddress(), send, func() error {
@@ -199,6 +205,7 @@
 		}
 		return s.mayDispatch(call.id, call.service, p)
 	})
+	call.sent = !isNotSent(err)
 	ended(answer, err)
 	if fault := faultpoint.Hit(PointAfterSend); fault != nil && !isNotSent(err) {
 		return nil, fault
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/entry/access"
 	"github.com/endivetrack/endivetrack/internal/entry/command"
+	"github.com/endivetrack/endivetrack/internal/entry/latency"
 	"github.com/endivetrack/endivetrack/internal/entry/permit"
 	"github.com/endivetrack/endivetrack/internal/entry/query"
 	"github.com/endivetrack/endivetrack/internal/entry/reply"
@@ -53,13 +54,14 @@
 
 // Entry is one entry instance.
 type Entry struct {
-	cfg      Config
-	commands *command.Service
-	queries  *query.Service
-	book     *permit.Book
-	server   *http.Server
-	slots    chan struct{}
-	draining atomic.Bool
+	cfg       Config
+	commands  *command.Service
+	queries   *query.Service
+	book      *permit.Book
+	latencies *latency.Streams
+	server    *http.Server
+	slots     chan struct{}
+	draining  atomic.Bool
 }
 
 // New wires an entry instance.
@@ -67,14 +69,15 @@
 	scope := cfg.Env.Metrics
 	owners := permit.NewOwners(cfg.Source, cfg.Owner, cfg.Env.Peers)
 	book := permit.NewBook(cfg.Source, owners, cfg.PermitTiming, scope)
-	e := &Entry{cfg: cfg, book: book, slots: make(chan struct{}, cfg.Limits.MaxRequests)}
+	latencies := latency.New(scope)
+	e := &Entry{cfg: cfg, book: book, latencies: latencies, slots: make(chan struct{}, cfg.Limits.MaxRequests)}
 	e.commands = command.NewService(command.Deps{
 		Name: cfg.Process.Name, Region: cfg.Process.Region, Source: cfg.Source,
 		Directory: access.NewDirectory(cfg.Source),
 		Limiter:   access.NewLimiter(cfg.Process.Name, cfg.Source),
 		Acquirer:  permit.NewAcquirer(cfg.Source, owners, book, cfg.PermitTiming, scope),
 		Owners:    owners, Book: book,
-		Retries: permit.NewRetryBudget(scope), Link: permit.NewLinkBudget(scope),
+		Retries: permit.NewRetryBudget(scope), Link: permit.NewLinkBudget(scope), Latencies: latencies,
 		Control: cfg.Control, Timing: cfg.Timing, Log: cfg.Env.Log, Metrics: scope, Timeline: cfg.Env.Timeline,
 	})
 	e.queries = &query.Service{Deps: query.Deps{
@@ -170,6 +173,7 @@
 	background, stop := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	loops.Go(func() { e.book.Run(background) })
+	loops.Go(func() { e.latencies.Run(background) })
 	loops.Go(func() { e.commands.PassOnAnnouncements(background) })
 	defer loops.Wait()
 	defer stop()
