--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -68,7 +68,7 @@
 	assert.Equal(t, pick(func(c *Candidate) { c.InFlight = 7 }), "b")
 	assert.Equal(t, pick(func(c *Candidate) { c.DomainLoad = 1 }), "b")
 	assert.Equal(t, pick(func(c *Candidate) { c.InFlight, c.Prefix = 5, 1 }), "a")
-	assert.Equal(t, pick(func(c *Candidate) { c.InFlight, c.Prefix = 8, 1 }), "b")
+	assert.Equal(t, pick(func(c *Candidate) { c.InFlight, c.Prefix = 7, 1 }), "b")
 	assert.Assert(t, router.Pick(&Request{}, nil) == nil)
 }
 
--- a/internal/scheduler/shard_test.go
+++ b/internal/scheduler/shard_test.go
@@ -250,8 +250,8 @@
 	m := newModel("llm")
 	a := &api.Announcement{Incarnation: "x", MaxRunning: 16, MemoryTokens: 8000}
 	m.warm(t, 0, a)
+	assert.Assert(t, m.fill(t, "long", 100) > 1)
 	big := m.acquire(Request{Holder: 1, Arrived: m.now, Until: m.now.Add(time.Minute), Class: &api.RequestClass{Account: "a", Model: "m0", Class: "long", PromptTokens: 7900, MaxTokens: 50}})
-	m.fill(t, "long", 100)
 	for step := 0; m.tickets[big] != nil; step++ {
 		assert.Assert(t, step < 60, "the long prompt starves")
 		m.now = m.now.Add(100 * time.Millisecond)
