--- /dev/null
+++ b/cmd/endivetrack-control/run.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
+
+	"github.com/endivetrack/endivetrack/internal/agreement"
+	"github.com/endivetrack/endivetrack/internal/control"
+	"github.com/endivetrack/endivetrack/internal/peerauth"
+	"github.com/endivetrack/endivetrack/internal/process"
+	"github.com/endivetrack/endivetrack/internal/state"
+)
+
+// stopTimeout bounds how long a planned stop waits for calls in progress. Long
+// polls end by themselves within 0.5 s.
+const stopTimeout = 3 * time.Second
+
+type runCommand struct {
+	config string
+}
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "run a control instance" }
+func (*runCommand) Usage() string    { return "run -config FILE\n" }
+
+// SetFlags defines the command's flags.
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", "control.toml", "configuration file")
+}
+
+// Execute runs until SIGTERM.
+func (c *runCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	cfg, err := loadConfig(c.config)
+	if err != nil {
+		return fail(err)
+	}
+	ctx, cancel := process.SignalContext()
+	defer cancel()
+	if err := run(ctx, cfg); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// run starts the instance's parts. The listener comes first, so that a port
+// that is taken is found before the data folder is touched.
+func run(ctx context.Context, cfg *config) error {
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer listener.Close()
+	env, err := process.NewEnv(cfg.Config, os.Stderr)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer env.Close()
+	machine := state.New()
+	node, err := agreement.Start(cfg.agreement(), machine, agreement.NewTwirpTransport(env.Peers), env)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer node.Stop()
+	server := control.New(control.Config{
+		Name:                  cfg.Name,
+		Address:               cfg.Advertise,
+		Log:                   node,
+		Machine:               machine,
+		BootstrapOperatorKeys: cfg.operatorKeys(),
+		Peers:                 env.Peers,
+		Logger:                env.Log,
+		Metrics:               env.Metrics,
+		Timeline:              env.Timeline,
+	})
+	env.Timeline.Record("started")
+	handler := server.Handler(env, peerauth.Digest(cfg.PeerKey), map[string]http.Handler{
+		agreement.PathPrefix: node.Handler(),
+	})
+	err = serve(ctx, listener, process.NewServer(handler), server, node)
+	env.Timeline.Record("stopped")
+	return err
+}
+
+// serve runs until ctx ends, then lets the calls in progress finish. A node
+// that stops by itself has met a fatal error, which ends the process.
+func serve(ctx context.Context, l net.Listener, hs *http.Server, server *control.Server, node *agreement.Node) error {
+	loops, stopLoops := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { server.Run(loops) })
+	defer wg.Wait()
+	defer stopLoops()
+	failed := make(chan error, 1)
+	go func() { failed <- hs.Serve(l) }()
+	select {
+	case err := <-failed:
+		return trace.Wrap(err)
+	case <-node.Done():
+		return trace.Wrap(node.Err())
+	case <-ctx.Done():
+	}
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := hs.Shutdown(stopCtx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -62,12 +62,15 @@
 // Limit is the adaptive concurrency limit of one target.
 //
 // Invariant: while the target is cold, Allowed is at most the ramp, which
-// starts at ColdLimit and at most doubles per successful interval.
+// starts at ColdLimit and at most doubles per successful interval. While the
+// target announces itself that it is cold, Allowed is at most ColdLimit: a
+// cold engine shows a good time between tokens until just before it falls over.
 type Limit struct {
 	value      float64 // limit of the warm target
 	learned    bool    // value comes from observation
 	max        float64
 	ramp       float64 // 0 when warm
+	announced  bool    // the target says that it is cold
 	firstToken time.Duration
 }
 
@@ -94,12 +97,24 @@
 
 // Allowed returns how many requests the target may run now.
 func (l *Limit) Allowed() int {
+	if l.announced {
+		return max(1, int(min(l.ramp, l.value, ColdLimit)))
+	}
 	if l.Cold() {
 		return max(1, int(min(l.ramp, l.value)))
 	}
 	return max(1, int(l.value))
 }
 
+// Announce takes what the target says about itself. The ramp starts when it
+// begins to say that it is cold, and rises only after it has stopped.
+func (l *Limit) Announce(cold bool) {
+	if cold && !l.announced {
+		l.Cool()
+	}
+	l.announced = cold
+}
+
 // Cool restarts the ramp. The learned limit remains the ramp's goal.
 func (l *Limit) Cool() { l.ramp = ColdLimit }
 
@@ -145,7 +160,7 @@
 	switch {
 	case float64(s.Gap) > goodGap*float64(target) || s.Preempted:
 		l.climbFailed()
-	case float64(s.InFlight) >= l.ramp/2:
+	case !l.announced && float64(s.InFlight) >= l.ramp/2:
 		if l.ramp *= 2; l.ramp >= l.value {
 			l.ramp, l.learned = 0, true
 		}
@@ -157,6 +172,10 @@
 // is taken for the cold start itself, and weakens the trust in the limit.
 func (l *Limit) climbFailed() {
 	lower := max(1, l.ramp*minBackoff)
+	if l.announced {
+		l.ramp = lower
+		return
+	}
 	if !l.learned || l.ramp >= l.value/2 {
 		l.value, l.ramp, l.learned = lower, 0, true
 		return
--- /dev/null
+++ b/internal/agreement/sim_plan_test.go
@@ -0,0 +1,135 @@
+package agreement
+
+import (
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// simAction is one fault of a plan. Its durations come from the seed of the
+// run: drawn numbers would mostly be small and hardly disturb anything.
+type simAction struct {
+	Kind string
+	Node int // slot, modulo the number of nodes
+	Bits int // chooses sides, sizes and rates
+}
+
+var simKinds = []string{
+	"none", "crash", "crash leader", "crash voters", "lose disk", "lose disk twice", "full disk", "fail sync", "fault point",
+	"freeze", "freeze leader", "partition", "isolate", "isolate leader", "one way in", "one way out", "slow in", "slow out",
+	"stale answers", "loss", "duplicate", "calm",
+}
+
+func drawPlan(t *rapid.T) []simAction {
+	action := rapid.Custom(func(t *rapid.T) simAction {
+		return simAction{
+			Kind: rapid.SampledFrom(simKinds).Draw(t, "kind"),
+			Node: rapid.IntRange(0, 9).Draw(t, "node"),
+			Bits: rapid.IntRange(0, 63).Draw(t, "bits"),
+		}
+	})
+	return rapid.SliceOfN(action, 4, 16).Draw(t, "plan")
+}
+
+// carryOut runs a whole simulation.
+func (w *simWorld) carryOut(plan []simAction) {
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+	w.run(1500 * time.Millisecond)
+	for _, a := range plan {
+		w.begin(a)
+		w.run(w.millis(0, 1500))
+	}
+	w.settle()
+	w.checkHistory()
+}
+
+func (w *simWorld) leaderSlot(otherwise *simNode) *simNode {
+	for _, n := range w.nodes {
+		if n.up && n.r.core.role == Leader {
+			return n
+		}
+	}
+	return otherwise
+}
+
+// begin starts one fault.
+func (w *simWorld) begin(a simAction) {
+	n := w.nodes[a.Node%len(w.nodes)]
+	lasts := w.millis(50, 2500)
+	until := w.now.Add(lasts)
+	w.counts["action "+a.Kind]++
+	switch a.Kind {
+	case "crash leader", "crash voters", "isolate leader", "freeze leader", "stale answers":
+		n = w.leaderSlot(n)
+	}
+	switch a.Kind {
+	case "crash", "crash leader":
+		if n.up {
+			w.crash(n, lasts)
+		}
+	case "crash voters":
+		// The leader stays away and each voter restarts right after its vote.
+		if n.up {
+			w.crash(n, lasts)
+		}
+		for _, x := range w.nodes {
+			x.crashAfterVote = x != n
+		}
+	case "freeze", "freeze leader":
+		n.frozenUntil, n.deaf = until, a.Bits%2 == 0
+	case "lose disk":
+		w.loseDisk(n)
+	case "lose disk twice":
+		n.loseAgain = w.loseDisk(n)
+	case "full disk":
+		if n.disk != nil {
+			n.disk.Free = int64(a.Bits * 20)
+		}
+	case "fail sync":
+		if n.disk != nil {
+			n.disk.FailSyncs = true
+		}
+	case "fault point":
+		n.faultIn = 1 + a.Bits/2
+	case "loss":
+		w.loss = float64(a.Bits) / 200
+	case "duplicate":
+		w.duplicate = float64(a.Bits) / 200
+	case "calm":
+		w.loss, w.duplicate = 0, 0
+	default:
+		w.cut(a, n, until)
+	}
+}
+
+// cut starts a fault of the links between nodes.
+func (w *simWorld) cut(a simAction, n *simNode, until time.Time) {
+	for i, x := range w.nodes {
+		in, out := [2]string{x.name, n.name}, [2]string{n.name, x.name}
+		switch a.Kind {
+		case "isolate", "isolate leader":
+			w.blocked[in], w.blocked[out] = until, until
+		case "one way in":
+			w.blocked[in] = until
+		case "one way out":
+			w.blocked[out] = until
+		case "slow in":
+			w.slow[in] = until
+		case "stale answers":
+			// Answers get ever slower, and go on arriving long after the
+			// leader's last heartbeat got through.
+			w.ramp[in] = w.now
+			w.blockFrom[out] = [2]time.Time{w.now.Add(rampFor), w.now.Add(rampFor + 2*time.Second)}
+		case "slow out":
+			w.slow[out] = until
+		case "partition":
+			for j, y := range w.nodes {
+				if (a.Bits>>i)&1 != (a.Bits>>j)&1 {
+					w.blocked[[2]string{x.name, y.name}] = until
+				}
+			}
+		}
+	}
+}
