--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -88,8 +88,8 @@
 
 // Bounds of the risk margin, in standard deviations.
 const (
-	startMargin = 1.0
-	minMargin   = 0.5
+	startMargin = 1.3
+	minMargin   = 0.9
 	maxMargin   = 3.0
 )
 
