--- a/bench/slopes/usage.go
+++ b/bench/slopes/usage.go
@@ -95,6 +95,7 @@
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &http.Transport{
 		MaxIdleConnsPerHost: 16,
+		DisableCompression:  true,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -71,8 +71,15 @@
 		DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true, // small binary messages; spares a header
 	}
-	return &http.Client{Transport: clock.Transport(peerauth.Transport(peerKey, peerFaults{freshAfterTimeout{base}}))}
+	return &http.Client{Transport: PeerTransport(peerKey, clock, freshAfterTimeout{base})}
+}
+
+// PeerTransport adds what calls between the system's processes carry to a
+// transport: the peer key, the logical clock and no more headers than needed.
+func PeerTransport(peerKey string, clock *timeline.Clock, base http.RoundTripper) http.RoundTripper {
+	return leanHeaders{clock.Transport(peerauth.Transport(peerKey, peerFaults{base}))}
 }
 
 // leanHeaders drops the headers that no peer reads. A permit's calls carry
