--- a/internal/control/balance_test.go
+++ b/internal/control/balance_test.go
@@ -17,7 +17,6 @@
 // balanceCase is a planner over one region with acknowledging instances.
 type balanceCase struct {
 	planner
-	version uint64
 }
 
 func newBalanceCase(t *testing.T, shards, instances int) *balanceCase {
