--- a/cmd/endivetrack-control/run.go
+++ b/cmd/endivetrack-control/run.go
@@ -45,22 +45,25 @@
 	}
 	ctx, cancel := process.SignalContext()
 	defer cancel()
-	if err := c.run(ctx, cfg); err != nil {
+	if err := run(ctx, cfg); err != nil {
 		return fail(err)
 	}
 	return subcommands.ExitSuccess
 }
 
-func (c *runCommand) run(ctx context.Context, cfg *config) error {
-	env, err := process.NewEnv(cfg.Config, os.Stderr)
+// run starts the instance's parts. The listener comes first, so that a port
+// that is taken is found before the data folder is touched.
+func run(ctx context.Context, cfg *config) error {
+	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	defer env.Close()
-	listener, err := net.Listen("tcp", cfg.Listen)
+	defer listener.Close()
+	env, err := process.NewEnv(cfg.Config, os.Stderr)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	defer env.Close()
 	machine := state.New()
 	node, err := agreement.Start(cfg.agreement(), machine, agreement.NewTwirpTransport(env.Peers), env)
 	if err != nil {
@@ -78,13 +81,17 @@
 		Metrics:               env.Metrics,
 		Timeline:              env.Timeline,
 	})
-	env.Timeline.Record("started", "incarnation", node.Incarnation())
-	env.Log.Info().Str("incarnation", node.Incarnation()).Msg("control instance started")
-	handler := server.Handler(env, peerauth.Digest(cfg.PeerKey), map[string]http.Handler{agreement.PathPrefix: node.Handler()})
-	return serve(ctx, listener, process.NewServer(handler), server, node)
+	env.Timeline.Record("started")
+	handler := server.Handler(env, peerauth.Digest(cfg.PeerKey), map[string]http.Handler{
+		agreement.PathPrefix: node.Handler(),
+	})
+	err = serve(ctx, listener, process.NewServer(handler), server, node)
+	env.Timeline.Record("stopped")
+	return err
 }
 
-// serve runs until ctx ends, then lets the calls in progress finish.
+// serve runs until ctx ends, then lets the calls in progress finish. A node
+// that stops by itself has met a fatal error, which ends the process.
 func serve(ctx context.Context, l net.Listener, hs *http.Server, server *control.Server, node *agreement.Node) error {
 	loops, stopLoops := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/internal/control/memlog/memlog.go
+++ b/internal/control/memlog_test.go
@@ -1,7 +1,4 @@
-// Package memlog is a replicated log in the memory of one process, for tests
-// and for trying a control instance without a data folder. The group's nodes
-// share one log; tests choose the leader and cut nodes off.
-package memlog
+package control_test
 
 import (
 	"context"
@@ -10,24 +7,28 @@
 	"time"
 
 	"github.com/endivetrack/endivetrack/internal/agreement"
+	"github.com/endivetrack/endivetrack/internal/state"
 )
 
 // errCutOff is the result of a read barrier without a quorum.
-var errCutOff = errors.New("memlog: cut off from the group")
-
-// Group is a set of nodes over one log.
-type Group struct {
-	mu     sync.Mutex
-	log    [][]byte
-	lost   [][]byte // proposed at a leader that was cut off
-	term   uint64
-	leader *Node // the newest leader
-	nodes  []*Node
+var errCutOff = errors.New("test log: cut off from the group")
+
+// memGroup is a replicated log in memory: a set of nodes over one log, whose
+// leader the test chooses and cuts off.
+type memGroup struct {
+	mu   sync.Mutex
+	log  [][]byte
+	lost [][]byte // proposed at a leader that was cut off
+	// observer applies every command the moment it is committed.
+	observer *state.Machine
+	term     uint64
+	leader   *memNode // the newest leader
+	nodes    []*memNode
 }
 
-// Node is one member of a group.
-type Node struct {
-	group   *Group
+// memNode is one member of a group.
+type memNode struct {
+	group   *memGroup
 	member  agreement.Member
 	machine agreement.StateMachine
 
@@ -36,15 +37,19 @@
 	applied uint64
 	cutAt   time.Time // zero while connected
 	commit  uint64
+	result  any // of the last command
 }
 
-// NewGroup returns an empty group.
-func NewGroup() *Group { return &Group{} }
+// proposeLatency is how long a command takes to be replicated.
+const proposeLatency = 3 * time.Millisecond
+
+// newMemGroup returns an empty group.
+func newMemGroup() *memGroup { return &memGroup{observer: state.New()} }
 
 // Add adds a node. The first one leads.
-func (g *Group) Add(name, address string, machine agreement.StateMachine) *Node {
+func (g *memGroup) Add(name, address string, machine agreement.StateMachine) *memNode {
 	g.mu.Lock()
-	n := &Node{group: g, machine: machine, member: agreement.Member{
+	n := &memNode{group: g, machine: machine, member: agreement.Member{
 		Name: name, Incarnation: name + "-1", Address: address, Voter: true,
 	}}
 	g.nodes = append(g.nodes, n)
@@ -57,30 +62,31 @@
 }
 
 // Elect makes a connected node the leader of a new term.
-func (g *Group) Elect(n *Node) {
+func (g *memGroup) Elect(n *memNode) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.term++
 	g.leader = n
+	n.term, n.leads = g.term, true
 	// Every second command without a known outcome had reached the new leader.
 	for i, command := range g.lost {
 		if i%2 == 0 {
-			g.log = append(g.log, command)
+			g.commit(command)
 		}
 	}
 	g.lost = nil
-	g.spread()
+	g.spread(max(len(g.log)-1, 0))
 }
 
 // Leader returns the leader of the newest term.
-func (g *Group) Leader() *Node {
+func (g *memGroup) Leader() *memNode {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.leader
 }
 
 // IsCut reports whether the node is cut off.
-func (n *Node) IsCut() bool {
+func (n *memNode) IsCut() bool {
 	n.group.mu.Lock()
 	defer n.group.mu.Unlock()
 	return !n.cutAt.IsZero()
@@ -88,7 +94,7 @@
 
 // Cut separates a node from the group. A leader that is cut off goes on
 // believing that it leads.
-func (g *Group) Cut(n *Node) {
+func (g *memGroup) Cut(n *memNode) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if n.cutAt.IsZero() {
@@ -97,32 +103,45 @@
 }
 
 // Heal connects a node again.
-func (g *Group) Heal(n *Node) {
+func (g *memGroup) Heal(n *memNode) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n.cutAt = time.Time{}
-	g.spread()
+	g.spread(len(g.log))
+}
+
+func (g *memGroup) commit(command []byte) {
+	g.log = append(g.log, command)
+	g.observer.Apply(uint64(len(g.log)), command)
 }
 
-// spread tells all connected nodes of the term and the log.
-func (g *Group) spread() {
+// spread tells all connected nodes of the term and of the log up to known. A
+// follower learns of the newest entry with the next one only, and a new leader
+// by its first proposal or read barrier.
+func (g *memGroup) spread(known int) {
 	for _, n := range g.nodes {
-		if !n.cutAt.IsZero() {
-			continue
-		}
-		n.term, n.leads, n.commit = g.term, n == g.leader, uint64(len(g.log))
-		for n.applied < n.commit {
-			n.applied++
-			n.machine.Apply(n.applied, g.log[n.applied-1])
+		if n.cutAt.IsZero() {
+			n.term, n.leads = g.term, n == g.leader
+			n.catchUp(known)
 		}
 	}
 }
 
+// catchUp applies the log up to known.
+func (n *memNode) catchUp(known int) {
+	n.commit = max(n.commit, uint64(known))
+	for n.applied < n.commit {
+		n.applied++
+		n.result = n.machine.Apply(n.applied, n.group.log[n.applied-1])
+	}
+}
+
 // Propose appends the command and applies it on all connected nodes. On a
 // leader that is cut off the outcome is unknown: the command may be committed
 // by the next leader.
-func (n *Node) Propose(ctx context.Context, command []byte) (agreement.Applied, error) {
+func (n *memNode) Propose(ctx context.Context, command []byte) (agreement.Applied, error) {
 	g := n.group
+	time.Sleep(proposeLatency)
 	g.mu.Lock()
 	if !n.leads {
 		defer g.mu.Unlock()
@@ -137,15 +156,14 @@
 		return agreement.Applied{}, agreement.ErrOutcomeUnknown
 	}
 	defer g.mu.Unlock()
-	g.log = append(g.log, command)
-	index := uint64(len(g.log))
-	n.commit, n.applied = index, index
-	result := n.machine.Apply(index, command)
-	g.spread()
-	return agreement.Applied{Index: index, Result: result}, nil
+	g.commit(command)
+	n.catchUp(len(g.log))
+	result := n.result
+	g.spread(len(g.log) - 1)
+	return agreement.Applied{Index: n.applied, Result: result}, nil
 }
 
-func (n *Node) notLeader() error {
+func (n *memNode) notLeader() error {
 	e := &agreement.NotLeaderError{}
 	if l := n.group.leader; l != nil && n.cutAt.IsZero() {
 		e.Leader, e.Address = l.member.Name, l.member.Address
@@ -154,7 +172,7 @@
 }
 
 // QuorumContact is now while the leader is connected.
-func (n *Node) QuorumContact() time.Time {
+func (n *memNode) QuorumContact() time.Time {
 	n.group.mu.Lock()
 	defer n.group.mu.Unlock()
 	switch {
@@ -167,7 +185,7 @@
 }
 
 // ReadBarrier returns the end of the log at a connected leader.
-func (n *Node) ReadBarrier(context.Context) (uint64, error) {
+func (n *memNode) ReadBarrier(context.Context) (uint64, error) {
 	n.group.mu.Lock()
 	defer n.group.mu.Unlock()
 	switch {
@@ -176,11 +194,12 @@
 	case !n.cutAt.IsZero():
 		return 0, errCutOff
 	}
+	n.catchUp(len(n.group.log))
 	return n.commit, nil
 }
 
 // Status returns the node's view.
-func (n *Node) Status() agreement.Status {
+func (n *memNode) Status() agreement.Status {
 	g := n.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -198,12 +217,14 @@
 }
 
 // AddLearner is refused: the group is fixed.
-func (n *Node) AddLearner(context.Context, agreement.Member) error {
+func (n *memNode) AddLearner(context.Context, agreement.Member) error {
 	return agreement.ErrMembershipChange
 }
 
 // Promote is refused: the group is fixed.
-func (n *Node) Promote(context.Context, string, string) error { return agreement.ErrMembershipChange }
+func (n *memNode) Promote(context.Context, string, string) error {
+	return agreement.ErrMembershipChange
+}
 
 // Remove is refused: the group is fixed.
-func (n *Node) Remove(context.Context, string) error { return agreement.ErrMembershipChange }
+func (n *memNode) Remove(context.Context, string) error { return agreement.ErrMembershipChange }
--- a/internal/entry/command/relay.go
+++ b/internal/entry/command/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/endivetrack/endivetrack/internal/entry/latency"
 	"github.com/endivetrack/endivetrack/internal/entry/permit"
 	"github.com/endivetrack/endivetrack/internal/entry/target"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
@@ -51,9 +52,16 @@
 	before  func() error // check right before the first dispatch
 	charge  func(n int)  // counts bytes that crossed regions; nil within the region
 	counts  *counters
+	// request is the caller's request, and began when it came; nil and zero
+	// when the generation is resumed.
+	request   *generation
+	began     time.Time
+	latencies *latency.Streams
 
-	conn *target.Stream
-	err  error // what the newest connection ended with
+	lastToken  time.Time
+	conn       *target.Stream
+	dispatched bool  // a connection was up
+	err        error // what the newest connection ended with
 }
 
 // run drives the relay until the stream is complete, cannot be continued, or
@@ -75,6 +83,7 @@
 		case stream.Reconnect:
 			r.counts.reconnects.Inc(1)
 			r.drop()
+			r.confirm(ctx)
 			if err := r.pause(ctx, r.seq.Delay()); err != nil {
 				r.err = err
 				continue
@@ -90,9 +99,7 @@
 	action := r.seq.Step(now, in.Input)
 	switch action {
 	case stream.Deliver:
-		if r.held != nil {
-			r.held.Token(now)
-		}
+		r.measure(now)
 		r.counts.tokens.Inc(1)
 		r.note(in, r.sink.token(in.Offset, in.data))
 	case stream.DeliverFinish:
@@ -101,6 +108,20 @@
 	return action
 }
 
+// measure notes the time of a token.
+func (r *relay) measure(now time.Time) {
+	if r.held != nil {
+		r.held.Token(now)
+	}
+	switch {
+	case !r.lastToken.IsZero():
+		r.latencies.Gap(now.Sub(r.lastToken))
+	case !r.began.IsZero():
+		r.latencies.First(now.Sub(r.began))
+	}
+	r.lastToken = now
+}
+
 // note keeps a sink's error, flushes when no more input waits, and charges the
 // link between regions.
 func (r *relay) note(in pending, err error) {
@@ -184,6 +205,7 @@
 		r.conn = nil
 		return r.ended(err)
 	}
+	r.dispatched = true
 	r.sink.accepted(r.id)
 	return pending{Input: stream.Input{Conn: r.seq.Conn(), Kind: stream.Activity}}
 }
@@ -200,6 +222,15 @@
 	return nil
 }
 
+// confirm asks whether the generation is still this instance's to read. The
+// target ends a stream when a newer reader comes: opening it again would take
+// the stream from the instance at which the caller resumed.
+func (r *relay) confirm(ctx context.Context) {
+	if r.held != nil && r.dispatched {
+		r.held.Confirm(ctx)
+	}
+}
+
 func (r *relay) pause(ctx context.Context, d time.Duration) error {
 	if d > 0 {
 		timer := time.NewTimer(d)
@@ -264,7 +295,7 @@
 	case delivered > 0:
 		res.err = resultcode.Newf(r.seq.Code(), "generation %s: %v", r.id, r.err).WithExecution(resultcode.Ran)
 	case errors.As(r.err, &notSent):
-		res.err = notSentError(notSent)
+		res.err, res.restart = notSentError(notSent), res.restart && elsewhereHelps(notSent)
 	case errors.As(r.err, &status) && status.NotRun:
 		res.err = resultcode.Newf(resultcode.Overloaded, "the target is full").WithRetryAfter(retryFull)
 	case errors.As(r.err, &status) && r.dispatching():
@@ -277,6 +308,13 @@
 	return res
 }
 
+// elsewhereHelps reports whether another target may take what was not sent:
+// the refusal was about the target, not about the request or this instance.
+func elsewhereHelps(err error) bool {
+	var coded *resultcode.Error
+	return !errors.As(err, &coded) || coded.Code == resultcode.NoTarget
+}
+
 // notSentError gives the refusal of the check before the dispatch, or says that
 // the target could not be reached.
 func notSentError(err *target.NotSentError) *resultcode.Error {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/entry/access"
 	"github.com/endivetrack/endivetrack/internal/entry/command"
+	"github.com/endivetrack/endivetrack/internal/entry/latency"
 	"github.com/endivetrack/endivetrack/internal/entry/permit"
 	"github.com/endivetrack/endivetrack/internal/entry/query"
 	"github.com/endivetrack/endivetrack/internal/entry/reply"
@@ -53,13 +54,14 @@
 
 // Entry is one entry instance.
 type Entry struct {
-	cfg      Config
-	commands *command.Service
-	queries  *query.Service
-	book     *permit.Book
-	server   *http.Server
-	slots    chan struct{}
-	draining atomic.Bool
+	cfg       Config
+	commands  *command.Service
+	queries   *query.Service
+	book      *permit.Book
+	latencies *latency.Streams
+	server    *http.Server
+	slots     chan struct{}
+	draining  atomic.Bool
 }
 
 // New wires an entry instance.
@@ -67,14 +69,15 @@
 	scope := cfg.Env.Metrics
 	owners := permit.NewOwners(cfg.Source, cfg.Owner, cfg.Env.Peers)
 	book := permit.NewBook(cfg.Source, owners, cfg.PermitTiming, scope)
-	e := &Entry{cfg: cfg, book: book, slots: make(chan struct{}, cfg.Limits.MaxRequests)}
+	latencies := latency.New(scope)
+	e := &Entry{cfg: cfg, book: book, latencies: latencies, slots: make(chan struct{}, cfg.Limits.MaxRequests)}
 	e.commands = command.NewService(command.Deps{
 		Name: cfg.Process.Name, Region: cfg.Process.Region, Source: cfg.Source,
 		Directory: access.NewDirectory(cfg.Source),
 		Limiter:   access.NewLimiter(cfg.Process.Name, cfg.Source),
 		Acquirer:  permit.NewAcquirer(cfg.Source, owners, book, cfg.PermitTiming, scope),
 		Owners:    owners, Book: book,
-		Retries: permit.NewRetryBudget(scope), Link: permit.NewLinkBudget(scope),
+		Retries: permit.NewRetryBudget(scope), Link: permit.NewLinkBudget(scope), Latencies: latencies,
 		Control: cfg.Control, Timing: cfg.Timing, Log: cfg.Env.Log, Metrics: scope, Timeline: cfg.Env.Timeline,
 	})
 	e.queries = &query.Service{Deps: query.Deps{
@@ -158,9 +161,10 @@
 const (
 	handoverPoll    = 20 * time.Millisecond
 	handoverTimeout = 10 * time.Second
-	// addressMargin is how much longer than the time to live of an address
-	// answer callers may still connect: the answer travels and is processed.
-	addressMargin = 250 * time.Millisecond
+	// addressMargin is the part of the time to live of an address answer for
+	// which callers may still connect after it: the answer travels and is
+	// processed.
+	addressMargin = 1.0 / 20
 )
 
 // Run serves on the listener until ctx ends, then stops as planned: callers
@@ -169,6 +173,7 @@
 	background, stop := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	loops.Go(func() { e.book.Run(background) })
+	loops.Go(func() { e.latencies.Run(background) })
 	loops.Go(func() { e.commands.PassOnAnnouncements(background) })
 	defer loops.Wait()
 	defer stop()
@@ -193,7 +198,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.cfg.Limits.DrainTimeoutMS)*time.Millisecond)
 	defer cancel()
 	e.waitUntil(ctx, handoverTimeout, e.shownAsDraining)
-	sleep(ctx, e.cfg.AddressTTL+addressMargin)
+	sleep(ctx, time.Duration(float64(e.cfg.AddressTTL)*(1+addressMargin)))
 	e.waitUntil(ctx, handoverTimeout, e.ownsNothing)
 	e.cfg.Env.Timeline.Record("handed_over")
 	if err := e.server.Shutdown(ctx); err != nil {
--- a/internal/entry/reply/reply.go
+++ b/internal/entry/reply/reply.go
@@ -14,8 +14,22 @@
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
-// bodyReadTimeout bounds how long a caller may take to send a body.
-const bodyReadTimeout = 10 * time.Second
+// CodeHeader carries the result code of an answer that the system itself gave.
+// Headers of targets are not passed on, so it tells such an answer from a
+// target's own.
+const CodeHeader = "X-Endivetrack-Code"
+
+// Bounds on how long a caller may take to send a body and to accept an answer.
+const (
+	bodyReadTimeout    = 10 * time.Second
+	answerWriteTimeout = 10 * time.Second
+)
+
+// LimitWrite bounds the time in which the caller must accept an answer. net/http
+// removes the bound after the request.
+func LimitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWriteTimeout)) // not supported by in-memory writers
+}
 
 // body is the JSON form of an error.
 type body struct {
@@ -49,9 +63,11 @@
 	e := resultcode.From(err)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
+	h.Set(CodeHeader, strconv.Itoa(int(e.Code)))
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
+	LimitWrite(w)
 	w.WriteHeader(e.Code.HTTPStatus())
 	_, _ = w.Write(ErrorJSON(err)) // a caller that is gone cannot be told
 }
@@ -64,7 +80,8 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(out)
+	LimitWrite(w)
+	_, _ = w.Write(out) // a caller that is gone cannot be told
 }
 
 // ReadBody reads a request body of at most limit bytes in bounded time.
--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -52,7 +52,7 @@
 	}
 	t.sample.InFlight = max(t.sample.InFlight, len(t.permits))
 	if !t.forecastAt.IsZero() {
-		t.forecast.Add(s.sequence(p, now))
+		t.forecast.Add(admission.ForecastOf(s.sequence(p, now)))
 	}
 }
 
@@ -64,6 +64,7 @@
 		t.shorts--
 	}
 	t.forecastAt = time.Time{}
+	s.free(t)
 	if len(t.permits) == 0 {
 		t.idleSince = now
 	}
@@ -205,13 +206,32 @@
 	}
 }
 
-// Tick does the shard's periodic work.
-func (s *Shard) Tick(now time.Time) {
+// Tick does the shard's periodic work and returns the targets whose state has
+// changed.
+func (s *Shard) Tick(now time.Time) (changes []Change) {
 	maps.DeleteFunc(s.released, func(_ string, at time.Time) bool { return now.Sub(at) > releasedTTL })
 	maps.DeleteFunc(s.targets, func(_ string, t *target) bool {
 		return len(t.permits) == 0 && now.Sub(t.seen) > forgetAfter
 	})
 	for _, t := range s.targets {
-		t.control(now, s.targetGap())
+		if t.control(now, s.targetGap()) {
+			s.free(t)
+		}
+		if state := s.state(t, now); state != t.state {
+			changes = append(changes, Change{t.name, t.state, state})
+			t.state = state
+		}
+	}
+	return changes
+}
+
+// Moved returns the permits of a holder's report that another holder has.
+func (s *Shard) Moved(holder uint64, list []*api.Progress) []string {
+	var out []string
+	for _, progress := range list {
+		if p := s.permits[progress.GetPermitId()]; p != nil && p.holder != holder {
+			out = append(out, p.id)
+		}
 	}
+	return out
 }
