--- a/internal/agreement/node_test.go
+++ b/internal/agreement/node_test.go
@@ -18,12 +18,15 @@
 type listMachine struct {
 	mu       sync.Mutex
 	commands []string
+	forget   bool // for benchmarks: a state of constant size
 }
 
 func (m *listMachine) Apply(_ uint64, command []byte) any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.commands = append(m.commands, string(command))
+	if !m.forget {
+		m.commands = append(m.commands, string(command))
+	}
 	return len(m.commands)
 }
 
@@ -82,7 +85,7 @@
 
 // testGroup is a group of nodes in one process with real disks.
 type testGroup struct {
-	t        *testing.T
+	t        testing.TB
 	network  *memoryNetwork
 	dir      string
 	members  []Member
@@ -103,7 +106,7 @@
 	}
 	t.Cleanup(func() {
 		for name := range g.nodes {
-			g.stop(name)
+			g.kill(name)
 		}
 	})
 	return g
@@ -130,9 +133,18 @@
 	return node
 }
 
+// stop ends a node as planned: it stays reachable meanwhile.
 func (g *testGroup) stop(name string) {
-	g.network.set("address-"+name, nil)
 	g.nodes[name].Stop()
+	g.network.set("address-"+name, nil)
+	delete(g.nodes, name)
+}
+
+// kill ends a node without any message to the others.
+func (g *testGroup) kill(name string) {
+	g.network.set("address-"+name, nil)
+	g.nodes[name].cancel()
+	<-g.nodes[name].Done()
 	delete(g.nodes, name)
 }
 
@@ -230,7 +242,7 @@
 	}
 	g.waitEqual(ctx, 300)
 	for _, m := range g.members {
-		g.stop(m.Name)
+		g.kill(m.Name)
 	}
 	for _, m := range g.members {
 		g.start(m.Name, m.Name)
@@ -247,7 +259,7 @@
 			t.Parallel()
 			g, ctx := newTestGroup(t, 3, func(c *Config) { c.SnapshotEntries, c.KeepEntries = 50, keep }), testDeadline(t)
 			g.propose(ctx, "first")
-			g.stop("c")
+			g.kill("c")
 			for i := range 400 {
 				g.propose(ctx, fmt.Sprint(i))
 			}
