--- a/internal/entry/command/generation.go
+++ b/internal/entry/command/generation.go
@@ -154,6 +154,7 @@
 		decoder: stream.NewDecoder(id),
 	}
 	if held != nil {
+		r.suspect = func(err error) { s.suspect(held, err) }
 		r.charge = s.charger(who, held.Shard.Region)
 	}
 	return r
--- a/internal/entry/command/plain.go
+++ b/internal/entry/command/plain.go
@@ -209,6 +209,7 @@
 		return s.mayDispatch(call.id, call.service, held.Permit)
 	})
 	s.release(ctx, held, s.plainReason(held, answer, err))
+	s.suspect(held, err)
 	s.countCrossed(answer, err)
 	if err != nil {
 		return nil, err
--- a/internal/entry/command/relay.go
+++ b/internal/entry/command/relay.go
@@ -51,6 +51,7 @@
 	sink    sink
 	before  func() error // check right before the first dispatch
 	charge  func(n int)  // counts bytes that crossed regions; nil within the region
+	suspect func(error)  // notes a target that could not be connected to; may be nil
 	counts  *counters
 	// request is the caller's request, and began when it came; nil and zero
 	// when the generation is resumed.
@@ -168,6 +169,9 @@
 		kind = stream.Malformed
 	case errors.As(err, &notSent):
 		kind = stream.Refused
+		if r.suspect != nil {
+			r.suspect(err)
+		}
 	case errors.As(err, &status) && r.final(status):
 		kind = stream.Unknown
 	}
--- a/internal/entry/command/service.go
+++ b/internal/entry/command/service.go
@@ -211,6 +211,16 @@
 	}
 }
 
+// suspect notes a target that could not be connected to. A refusal of the check
+// before the dispatch, or a caller that left, says nothing of the target.
+func (s *Service) suspect(held *permit.Held, err error) {
+	var notSent *target.NotSentError
+	var coded *resultcode.Error
+	if errors.As(err, &notSent) && !errors.As(err, &coded) && !errors.Is(err, context.Canceled) {
+		s.Acquirer.Suspect(held.Shard.Team, held.Shard.Service, held.Permit.GetTarget(), time.Now())
+	}
+}
+
 // release ends a permit whose answer does not matter.
 func (s *Service) release(ctx context.Context, h *permit.Held, reason api.ReleaseReason) {
 	if h != nil {
--- a/internal/entry/command/write.go
+++ b/internal/entry/command/write.go
@@ -169,6 +169,7 @@
 		// From here the caller's leaving must not lose the answer.
 		answer, err := s.dispatchWrite(context.WithoutCancel(ctx), call, wanted.RequestID, held.Permit, func(a *target.Answer, err error) {
 			s.release(ctx, held, s.plainReason(held, a, err))
+			s.suspect(held, err)
 		})
 		if err == nil {
 			return answer, s.endWrite(ctx, call, attempt, answer)
--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -89,6 +89,24 @@
 	})
 }
 
+// Guards against a dead target that swallows the retry budget: until its
+// announcement expires its owner goes on granting it.
+func TestDeadTargetIsAvoided(t *testing.T) {
+	b := newBed(t)
+	b.offer("llm-1", refusedAddress(t))
+	b.offer("llm-2", newEngine(t, whole(2)).address())
+	for range 8 {
+		tokensOf(t, b.generate().body, 0, 2)
+	}
+	failed := 0
+	for _, r := range b.owner.releaseReasons() {
+		if r == api.ReleaseReason_RELEASE_REASON_FAILED {
+			failed++
+		}
+	}
+	assert.Equal(t, failed, 1)
+}
+
 // Guards P1 and the report of a lost generation: after tokens were delivered
 // nothing is started again, and the error says how many were.
 func TestLostAfterTokens(t *testing.T) {
--- a/internal/entry/permit/acquire.go
+++ b/internal/entry/permit/acquire.go
@@ -43,6 +43,8 @@
 	probes tally.Counter
 	queued tally.Counter
 	away   tally.Counter
+
+	suspects suspects
 }
 
 // NewAcquirer returns an acquirer that notes granted permits in book.
@@ -225,7 +227,7 @@
 	answer, err := owner.Command.Acquire(callCtx, &api.AcquireRequest{
 		Shard: key.Proto(), HolderSession: a.source.SessionID(), RequestId: w.RequestID, Request: w.Request,
 		WaitMs: uint32(wait.Milliseconds()), WaitedMs: uint32(now.Sub(w.Started).Milliseconds()),
-		ExcludeTargets: w.Exclude,
+		ExcludeTargets: a.suspects.exclude(w, now),
 	})
 	if err != nil {
 		r.lost(w, key)
