--- a/internal/entry/command/relay.go
+++ b/internal/entry/command/relay.go
@@ -70,12 +70,15 @@
 func (r *relay) run(ctx context.Context) result {
 	in := r.connect(ctx)
 	for {
-		if r.conn != nil {
-			in = r.read()
-		}
 		if stop, ok := r.stopped(ctx); ok {
 			return stop
 		}
+		if r.conn != nil {
+			in = r.read()
+			if stop, ok := r.stopped(ctx); ok {
+				return stop
+			}
+		}
 		switch r.step(in) {
 		case stream.Complete:
 			return r.complete()
--- a/internal/entry/permit/acquire.go
+++ b/internal/entry/permit/acquire.go
@@ -18,6 +18,9 @@
 // Which ones are probed changes from round to round.
 const maxProbes = 4
 
+// singleShardSlices is how many slices are waited at once at a single shard.
+const singleShardSlices = 4
+
 // Wanted describes the permit that a request needs.
 type Wanted struct {
 	Team    string
@@ -205,7 +208,7 @@
 	r := round{noOwner: seen.noOwner, noTarget: seen.noTarget, overloaded: seen.overloaded}
 	for _, c := range seen.full {
 		a.queued.Inc(1)
-		held := a.ask(ctx, view, c.key, w, min(left, a.timing.Slice), &r)
+		held := a.ask(ctx, view, c.key, w, min(left, a.slice(w)), &r)
 		if held != nil || len(r.full) > 0 {
 			return held, r
 		}
@@ -213,6 +216,16 @@
 	return nil, r
 }
 
+// slice is how long a request waits in one queue before it looks elsewhere.
+// With a single shard there is nowhere else in the region: fewer, longer waits
+// spare its owner calls when it has the most of them.
+func (a *Acquirer) slice(w Wanted) time.Duration {
+	if w.Shards <= 1 {
+		return singleShardSlices * a.timing.Slice
+	}
+	return a.timing.Slice
+}
+
 // ask asks one owner and notes its answer in r.
 func (a *Acquirer) ask(ctx context.Context, view *session.View, key session.ShardKey, w Wanted, wait time.Duration, r *round) *Held {
 	owner, ok := a.owners.Of(view, key)
--- a/internal/stream/sse.go
+++ b/internal/stream/sse.go
@@ -48,8 +48,13 @@
 	return &Reader{r: bufio.NewReaderSize(r, readBufferBytes)}
 }
 
-// Buffered reports whether further bytes were already received.
-func (r *Reader) Buffered() bool { return r.r.Buffered() > 0 }
+// Buffered reports whether a further whole event was already received.
+func (r *Reader) Buffered() bool {
+	waiting, err := r.r.Peek(r.r.Buffered())
+	return err == nil && bytes.Contains(waiting, eventEnd)
+}
+
+var eventEnd = []byte("\n\n")
 
 // Read returns the next event or comment. io.EOF means that the stream ended
 // between events; io.ErrUnexpectedEOF that an event was cut.
--- a/internal/stream/sse_test.go
+++ b/internal/stream/sse_test.go
@@ -79,6 +79,16 @@
 	})
 }
 
+// Guards against a token that is kept back although nothing whole follows it.
+func TestBufferedMeansAWholeEvent(t *testing.T) {
+	for in, want := range map[string]bool{"data: a\n\n": false, "data: a\n\ndata: b": false, "data: a\n\ndata: b\n\n": true} {
+		r := NewReader(strings.NewReader(in))
+		_, err := r.Read()
+		assert.NilError(t, err)
+		assert.Equal(t, r.Buffered(), want, in)
+	}
+}
+
 func chunkEvent(offset, data string) Event { return Event{ID: []byte(offset), Data: []byte(data)} }
 
 // Guards the classification of events, in the usual form and in others.
