--- a/internal/entry/command/generation.go
+++ b/internal/entry/command/generation.go
@@ -107,8 +107,8 @@
 		if !res.restart {
 			return s.refuse(g, res.err)
 		}
-		if !s.Retries.Take(g.id.TeamName, g.id.Team.Policy.RetryPercent) {
-			return s.refuse(g, res.err)
+		if !s.mayRetry(g.id) {
+			return s.refuse(g, budgetSpent(res.err))
 		}
 		s.counts.restarted.Inc(1)
 	}
--- a/internal/entry/command/plain.go
+++ b/internal/entry/command/plain.go
@@ -172,15 +172,18 @@
 		wanted.Exclude = append(wanted.Exclude, held.Permit.GetTarget())
 		mayHaveRun = mayHaveRun || !isNotSent(err)
 		again := ctx.Err() == nil && (read || isNotSent(err)) && elsewhereHelps(err) && !errors.Is(err, target.ErrTooLarge)
-		if !again || !s.Retries.Take(call.id.TeamName, call.id.Team.Policy.RetryPercent) {
+		if !again {
 			return nil, plainError(err, mayHaveRun)
 		}
+		if !s.mayRetry(call.id) {
+			return nil, budgetSpent(plainError(err, mayHaveRun))
+		}
 		s.counts.restarted.Inc(1)
 	}
 }
 
 // plainError gives the error of a call that ended with err.
-func plainError(err error, mayHaveRun bool) error {
+func plainError(err error, mayHaveRun bool) *resultcode.Error {
 	var coded *resultcode.Error
 	var notSent *target.NotSentError
 	switch {
@@ -289,7 +292,7 @@
 
 // second obtains a permit at another target for a hedged read, without waiting.
 func (s *Service) second(ctx context.Context, call *plainCall, wanted permit.Wanted, first *permit.Held) *permit.Held {
-	if !s.Retries.Take(call.id.TeamName, call.id.Team.Policy.RetryPercent) {
+	if !s.mayRetry(call.id) {
 		return nil
 	}
 	wanted.RequestID = stream.NewUnique()
--- a/internal/entry/command/service.go
+++ b/internal/entry/command/service.go
@@ -211,6 +211,20 @@
 	}
 }
 
+// mayRetry takes a retry from the team's budget.
+func (s *Service) mayRetry(id *access.Identity) bool {
+	return s.Retries.Take(id.TeamName, id.Team.Policy.RetryPercent)
+}
+
+// budgetSpent is the error of a request that is not tried again for lack of
+// budget. What may have run keeps its own code.
+func budgetSpent(cause *resultcode.Error) *resultcode.Error {
+	if cause.Execution != resultcode.NotRun {
+		return cause
+	}
+	return resultcode.Newf(resultcode.RetryBudget, "the retry budget is spent; last: %v", cause).WithRetryAfter(max(cause.RetryAfter, retryFull))
+}
+
 // suspect notes a target that could not be connected to. A refusal of the check
 // before the dispatch, or a caller that left, says nothing of the target.
 func (s *Service) suspect(held *permit.Held, err error) {
--- a/internal/entry/command/write.go
+++ b/internal/entry/command/write.go
@@ -182,8 +182,11 @@
 			return nil, outcomeUnknown(err.Error())
 		}
 		wanted.Exclude = append(wanted.Exclude, held.Permit.GetTarget())
-		if ctx.Err() != nil || !elsewhereHelps(err) || !s.Retries.Take(call.id.TeamName, call.id.Team.Policy.RetryPercent) {
-			return nil, s.abort(ctx, call, attempt, resultcode.From(plainError(err, false)))
+		if ctx.Err() != nil || !elsewhereHelps(err) {
+			return nil, s.abort(ctx, call, attempt, plainError(err, false))
+		}
+		if !s.mayRetry(call.id) {
+			return nil, s.abort(ctx, call, attempt, budgetSpent(plainError(err, false)))
 		}
 		s.counts.restarted.Inc(1)
 	}
--- a/internal/entry/plain_test.go
+++ b/internal/entry/plain_test.go
@@ -340,4 +340,14 @@
 	}
 	assert.Assert(t, reads.Load() <= calls+calls/10+10, "%d", reads.Load())
 	assert.Assert(t, reads.Load() > calls, "no retry at all")
+	code, execution := b.generateAtDeadTarget().code(t)
+	assert.Equal(t, code, 2009)
+	assert.Equal(t, execution, "not_run")
+}
+
+// generateAtDeadTarget runs a generation whose first target refuses the
+// connection.
+func (b *bed) generateAtDeadTarget() answer {
+	b.offer("llm-1", refusedAddress(b.t))
+	return b.generate()
 }
