--- a/standin/verify/verify.go
+++ b/standin/verify/verify.go
@@ -24,7 +24,10 @@
 
 // Verdict counts what callers and stand-ins saw together.
 type Verdict struct {
-	Requests, Whole, Refused, Cut int
+	Requests, Whole, Refused int
+	// Cut are streams interrupted by a lost connection, as callers or engines
+	// counted them, resumed or not.
+	Cut int
 	// Lost are answers, tokens or acknowledged writes that are missing.
 	Lost int
 	// Duplicated are tokens delivered twice, writes that ran twice and
@@ -39,10 +42,14 @@
 	OutWindowWork int
 	Foreign       int
 
-	Generations, Preemptions, Failed, Cancelled, OverloadSteps int
-	StallSeconds, RunningSeconds, BusySeconds                  float64
-	Executions                                                 int
-	Notes                                                      []string
+	// OverloadSteps are steps of engines that were given more while cold than
+	// they bear (docs/design.md, P2).
+	OverloadSteps int
+
+	Generations, Preemptions, Failed, Cancelled int
+	StallSeconds, RunningSeconds, BusySeconds   float64
+	Executions                                  int
+	Notes                                       []string
 }
 
 const maxNotes = 20
@@ -91,15 +98,20 @@
 
 func (v *Verdict) generations(engines []engine.Record, windows []Window) {
 	ran := map[string]string{}
+	resumes := 0
 	for _, e := range engines {
 		v.Preemptions += e.Preemptions
 		v.Failed += e.Failed
 		v.Cancelled += e.Cancelled
 		v.OverloadSteps += e.OverloadSteps
+		if e.OverloadSteps > 0 {
+			v.note("%s was given up to %d sequences while cold and fell over for %d steps", e.Target, e.PeakColdActive, e.OverloadSteps)
+		}
 		v.RunningSeconds += e.RunningSeconds
 		v.BusySeconds += e.BusySeconds
 		for _, w := range e.Work {
 			v.Generations++
+			resumes += w.Resumes
 			v.StallSeconds += float64(w.StallMicros) / 1e6
 			if other, twice := ran[w.ID]; twice {
 				v.Duplicated++
@@ -109,6 +121,8 @@
 			v.placed(e.Target, e.FailureDomain, w.AcceptedAt, e.LeavingAt, windows)
 		}
 	}
+	// A caller's resume reaches the engine too, so the larger count holds both.
+	v.Cut = max(v.Cut, resumes)
 }
 
 func (v *Verdict) calls(services []service.Record, windows []Window) {
@@ -140,7 +154,7 @@
 // Ok reports whether every request was answered whole and no promise broke.
 func (v *Verdict) Ok() bool {
 	return v.Requests > 0 && v.Whole == v.Requests &&
-		v.Lost+v.Duplicated+v.Cut+v.FalseNotRun+v.LateWork+v.Foreign == 0
+		v.Lost+v.Duplicated+v.Cut+v.FalseNotRun+v.LateWork+v.Foreign+v.OverloadSteps == 0
 }
 
 // Add adds the counts of another deployment.
@@ -154,4 +168,5 @@
 	v.FalseNotRun += o.FalseNotRun
 	v.LateWork += o.LateWork
 	v.Foreign += o.Foreign
+	v.OverloadSteps += o.OverloadSteps
 }
