--- a/internal/entry/command/plain.go
+++ b/internal/entry/command/plain.go
@@ -28,9 +28,10 @@
 	keyHeader      = "Idempotency-Key"
 	replayedHeader = "X-Endivetrack-Replayed"
 	maxKeyBytes    = 128
-	// maxAnswerBytes bounds an answer of a plain service; it is kept in memory
-	// until it is complete, since a cut answer must not reach the caller.
-	maxAnswerBytes = 16 << 20
+	// minAnswerBound is the bound on an answer of a plain service whose bodies
+	// have a smaller bound. Answers are kept in memory until they are complete,
+	// since a cut answer must not reach the caller.
+	minAnswerBound = 1 << 20
 )
 
 // plainCall is one call to a plain service while it runs.
@@ -41,6 +42,8 @@
 	class   settings.Class
 	request *api.RequestClass
 	send    target.Request
+	// sent: a byte of a protected write may have left for a target.
+	sent bool
 }
 
 // Plain serves ANY /v1/services/{service}/{path}.
@@ -119,7 +122,7 @@
 		request: &api.RequestClass{Account: id.AccountName, Class: name, PromptTokens: classify.PromptTokens(len(body))},
 		send: target.Request{
 			Method: r.Method, URI: uri.RequestURI(), ContentType: r.Header.Get("Content-Type"),
-			IdempotencyKey: key, Body: body, MaxAnswer: maxAnswerBytes,
+			IdempotencyKey: key, Body: body, MaxAnswer: max(spec.MaxBodyBytes, minAnswerBound),
 		},
 	}, nil
 }
@@ -140,6 +143,7 @@
 	if a.ContentType != "" {
 		w.Header().Set("Content-Type", a.ContentType)
 	}
+	reply.LimitWrite(w)
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body) // a caller that is gone cannot be told
 }
@@ -167,7 +171,7 @@
 		}
 		wanted.Exclude = append(wanted.Exclude, held.Permit.GetTarget())
 		mayHaveRun = mayHaveRun || !isNotSent(err)
-		again := ctx.Err() == nil && (read || isNotSent(err)) && !errors.Is(err, target.ErrTooLarge)
+		again := ctx.Err() == nil && (read || isNotSent(err)) && elsewhereHelps(err) && !errors.Is(err, target.ErrTooLarge)
 		if !again || !s.Retries.Take(call.id.TeamName, call.id.Team.Policy.RetryPercent) {
 			return nil, plainError(err, mayHaveRun)
 		}
@@ -202,7 +206,7 @@
 	send.RequestID = stream.NewUnique()
 	began := time.Now()
 	answer, err := target.Call(ctx, held.Permit.GetAddress(), send, func() error {
-		return s.mayDispatch(call.id.TeamName, call.service, held.Permit)
+		return s.mayDispatch(call.id, call.service, held.Permit)
 	})
 	s.release(ctx, held, s.plainReason(held, answer, err))
 	s.countCrossed(answer, err)
--- a/internal/entry/command/resume.go
+++ b/internal/entry/command/resume.go
@@ -73,6 +73,9 @@
 // permit (the generation has ended, or its owner does not know it yet) only
 // what the target still buffers can be read.
 func (s *Service) takeOver(ctx context.Context, who *access.Identity, id string, place query.Place) (*permit.Held, string, error) {
+	if s.running.foreign(id, who.TeamName, who.AccountName) {
+		return nil, "", resultcode.Newf(resultcode.Forbidden, "generation %q belongs to another account", id)
+	}
 	if local := s.running.take(id, who.TeamName, who.AccountName); local != nil && local.held != nil {
 		return local.held, local.held.Permit.GetAddress(), nil
 	}
@@ -99,12 +102,19 @@
 			address = found
 		}
 	}
-	if address == "" {
-		address = s.targets.address(who.TeamName, place.Service, place.Target)
+	if address != "" {
+		return nil, address, nil
+	}
+	if known, ok := s.targets.find(who.TeamName, place.Service, place.Target); ok && !reached {
+		// The shard has no owner now. The next one learns from this instance's
+		// report that the generation runs, and who holds it.
+		p := &api.Permit{
+			Id: permitOf(place.Unique), Target: place.Target,
+			Address: known.announcement.GetAddress(), FailureDomain: known.announcement.GetFailureDomain(),
+		}
+		return s.Book.Add(known.key, p, nil, time.Now()), p.GetAddress(), nil
 	}
 	switch {
-	case address != "":
-		return nil, address, nil
 	case !reached:
 		return nil, "", resultcode.Newf(resultcode.NoOwner, "no owner of the generation's shard can be reached").WithRetryAfter(time.Second)
 	default:
