--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -180,6 +180,10 @@
 // are over.
 func (s *Shard) Schedule(now time.Time) (out []Decision) {
 	s.integrateIdle(now)
+	if s.queue.Len() == 0 {
+		s.idle = idleRate{since: now}
+		return nil
+	}
 	for _, it := range s.queue.Advance(now) {
 		s.forget(it.Value)
 		out = append(out, Decision{Ticket: it.Value.ticket, Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_FULL, DeadlineUp: true})
