--- a/internal/entry/command/plain.go
+++ b/internal/entry/command/plain.go
@@ -28,9 +28,10 @@
 	keyHeader      = "Idempotency-Key"
 	replayedHeader = "X-Endivetrack-Replayed"
 	maxKeyBytes    = 128
-	// maxAnswerBytes bounds an answer of a plain service; it is kept in memory
-	// until it is complete, since a cut answer must not reach the caller.
-	maxAnswerBytes = 16 << 20
+	// minAnswerBound is the bound on an answer of a plain service whose bodies
+	// have a smaller bound. Answers are kept in memory until they are complete,
+	// since a cut answer must not reach the caller.
+	minAnswerBound = 1 << 20
 )
 
 // plainCall is one call to a plain service while it runs.
@@ -41,6 +42,8 @@
 	class   settings.Class
 	request *api.RequestClass
 	send    target.Request
+	// sent: a byte of a protected write may have left for a target.
+	sent bool
 }
 
 // Plain serves ANY /v1/services/{service}/{path}.
@@ -119,7 +122,7 @@
 		request: &api.RequestClass{Account: id.AccountName, Class: name, PromptTokens: classify.PromptTokens(len(body))},
 		send: target.Request{
 			Method: r.Method, URI: uri.RequestURI(), ContentType: r.Header.Get("Content-Type"),
-			IdempotencyKey: key, Body: body, MaxAnswer: maxAnswerBytes,
+			IdempotencyKey: key, Body: body, MaxAnswer: max(spec.MaxBodyBytes, minAnswerBound),
 		},
 	}, nil
 }
@@ -140,6 +143,7 @@
 	if a.ContentType != "" {
 		w.Header().Set("Content-Type", a.ContentType)
 	}
+	reply.LimitWrite(w)
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body) // a caller that is gone cannot be told
 }
@@ -167,16 +171,19 @@
 		}
 		wanted.Exclude = append(wanted.Exclude, held.Permit.GetTarget())
 		mayHaveRun = mayHaveRun || !isNotSent(err)
-		again := ctx.Err() == nil && (read || isNotSent(err)) && !errors.Is(err, target.ErrTooLarge)
-		if !again || !s.Retries.Take(call.id.TeamName, call.id.Team.Policy.RetryPercent) {
+		again := ctx.Err() == nil && (read || isNotSent(err)) && elsewhereHelps(err) && !errors.Is(err, target.ErrTooLarge)
+		if !again {
 			return nil, plainError(err, mayHaveRun)
 		}
+		if !s.mayRetry(call.id) {
+			return nil, budgetSpent(plainError(err, mayHaveRun))
+		}
 		s.counts.restarted.Inc(1)
 	}
 }
 
 // plainError gives the error of a call that ended with err.
-func plainError(err error, mayHaveRun bool) error {
+func plainError(err error, mayHaveRun bool) *resultcode.Error {
 	var coded *resultcode.Error
 	var notSent *target.NotSentError
 	switch {
@@ -202,9 +209,10 @@
 	send.RequestID = stream.NewUnique()
 	began := time.Now()
 	answer, err := target.Call(ctx, held.Permit.GetAddress(), send, func() error {
-		return s.mayDispatch(call.id.TeamName, call.service, held.Permit)
+		return s.mayDispatch(call.id, call.service, held.Permit)
 	})
 	s.release(ctx, held, s.plainReason(held, answer, err))
+	s.suspect(held, err)
 	s.countCrossed(answer, err)
 	if err != nil {
 		return nil, err
@@ -284,7 +292,7 @@
 
 // second obtains a permit at another target for a hedged read, without waiting.
 func (s *Service) second(ctx context.Context, call *plainCall, wanted permit.Wanted, first *permit.Held) *permit.Held {
-	if !s.Retries.Take(call.id.TeamName, call.id.Team.Policy.RetryPercent) {
+	if !s.mayRetry(call.id) {
 		return nil
 	}
 	wanted.RequestID = stream.NewUnique()
--- a/internal/entry/command/relay.go
+++ b/internal/entry/command/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/endivetrack/endivetrack/internal/entry/latency"
 	"github.com/endivetrack/endivetrack/internal/entry/permit"
 	"github.com/endivetrack/endivetrack/internal/entry/target"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
@@ -50,8 +51,15 @@
 	sink    sink
 	before  func() error // check right before the first dispatch
 	charge  func(n int)  // counts bytes that crossed regions; nil within the region
+	suspect func(error)  // notes a target that could not be connected to; may be nil
 	counts  *counters
+	// request is the caller's request, and began when it came; nil and zero
+	// when the generation is resumed.
+	request   *generation
+	began     time.Time
+	latencies *latency.Streams
 
+	lastToken  time.Time
 	conn       *target.Stream
 	dispatched bool  // a connection was up
 	err        error // what the newest connection ended with
@@ -62,12 +70,15 @@
 func (r *relay) run(ctx context.Context) result {
 	in := r.connect(ctx)
 	for {
-		if r.conn != nil {
-			in = r.read()
-		}
 		if stop, ok := r.stopped(ctx); ok {
 			return stop
 		}
+		if r.conn != nil {
+			in = r.read()
+			if stop, ok := r.stopped(ctx); ok {
+				return stop
+			}
+		}
 		switch r.step(in) {
 		case stream.Complete:
 			return r.complete()
@@ -92,9 +103,7 @@
 	action := r.seq.Step(now, in.Input)
 	switch action {
 	case stream.Deliver:
-		if r.held != nil {
-			r.held.Token(now)
-		}
+		r.measure(now)
 		r.counts.tokens.Inc(1)
 		r.note(in, r.sink.token(in.Offset, in.data))
 	case stream.DeliverFinish:
@@ -103,6 +112,20 @@
 	return action
 }
 
+// measure notes the time of a token.
+func (r *relay) measure(now time.Time) {
+	if r.held != nil {
+		r.held.Token(now)
+	}
+	switch {
+	case !r.lastToken.IsZero():
+		r.latencies.Gap(now.Sub(r.lastToken))
+	case !r.began.IsZero():
+		r.latencies.First(now.Sub(r.began))
+	}
+	r.lastToken = now
+}
+
 // note keeps a sink's error, flushes when no more input waits, and charges the
 // link between regions.
 func (r *relay) note(in pending, err error) {
@@ -149,6 +172,9 @@
 		kind = stream.Malformed
 	case errors.As(err, &notSent):
 		kind = stream.Refused
+		if r.suspect != nil {
+			r.suspect(err)
+		}
 	case errors.As(err, &status) && r.final(status):
 		kind = stream.Unknown
 	}
@@ -276,7 +302,7 @@
 	case delivered > 0:
 		res.err = resultcode.Newf(r.seq.Code(), "generation %s: %v", r.id, r.err).WithExecution(resultcode.Ran)
 	case errors.As(r.err, &notSent):
-		res.err = notSentError(notSent)
+		res.err, res.restart = notSentError(notSent), res.restart && elsewhereHelps(notSent)
 	case errors.As(r.err, &status) && status.NotRun:
 		res.err = resultcode.Newf(resultcode.Overloaded, "the target is full").WithRetryAfter(retryFull)
 	case errors.As(r.err, &status) && r.dispatching():
@@ -289,6 +315,13 @@
 	return res
 }
 
+// elsewhereHelps reports whether another target may take what was not sent:
+// the refusal was about the target, not about the request or this instance.
+func elsewhereHelps(err error) bool {
+	var coded *resultcode.Error
+	return !errors.As(err, &coded) || coded.Code == resultcode.NoTarget
+}
+
 // notSentError gives the refusal of the check before the dispatch, or says that
 // the target could not be reached.
 func notSentError(err *target.NotSentError) *resultcode.Error {
--- a/internal/entry/command/write.go
+++ b/internal/entry/command/write.go
@@ -169,6 +169,7 @@
 		// From here the caller's leaving must not lose the answer.
 		answer, err := s.dispatchWrite(context.WithoutCancel(ctx), call, wanted.RequestID, held.Permit, func(a *target.Answer, err error) {
 			s.release(ctx, held, s.plainReason(held, a, err))
+			s.suspect(held, err)
 		})
 		if err == nil {
 			return answer, s.endWrite(ctx, call, attempt, answer)
@@ -181,8 +182,11 @@
 			return nil, outcomeUnknown(err.Error())
 		}
 		wanted.Exclude = append(wanted.Exclude, held.Permit.GetTarget())
-		if ctx.Err() != nil || !s.Retries.Take(call.id.TeamName, call.id.Team.Policy.RetryPercent) {
-			return nil, s.abort(ctx, call, attempt, resultcode.From(plainError(err, false)))
+		if ctx.Err() != nil || !elsewhereHelps(err) {
+			return nil, s.abort(ctx, call, attempt, plainError(err, false))
+		}
+		if !s.mayRetry(call.id) {
+			return nil, s.abort(ctx, call, attempt, budgetSpent(plainError(err, false)))
 		}
 		s.counts.restarted.Inc(1)
 	}
@@ -191,14 +195,21 @@
 func (s *Service) dispatchWrite(ctx context.Context, call *plainCall, requestID string, p *api.Permit, ended func(*target.Answer, error)) (*target.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.spec.CallTimeout())
 	defer cancel()
+	if call.sent {
+		err := invariant("a protected write was about to be sent twice")
+		s.report(err)
+		ended(nil, err)
+		return nil, err
+	}
 	send := call.send
 	send.RequestID, send.ReadOn = requestID, true
 	answer, err := target.Call(ctx, p.GetAddress(), send, func() error {
 		if err := faultpoint.Hit(PointBeforeSend); err != nil {
 			return err
 		}
-		return s.mayDispatch(call.id.TeamName, call.service, p)
+		return s.mayDispatch(call.id, call.service, p)
 	})
+	call.sent = !isNotSent(err)
 	ended(answer, err)
 	if fault := faultpoint.Hit(PointAfterSend); fault != nil && !isNotSent(err) {
 		return nil, fault
--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -88,6 +89,24 @@
 	})
 }
 
+// Guards against a dead target that swallows the retry budget: until its
+// announcement expires its owner goes on granting it.
+func TestDeadTargetIsAvoided(t *testing.T) {
+	b := newBed(t)
+	b.offer("llm-1", refusedAddress(t))
+	b.offer("llm-2", newEngine(t, whole(2)).address())
+	for range 8 {
+		tokensOf(t, b.generate().body, 0, 2)
+	}
+	failed := 0
+	for _, r := range b.owner.releaseReasons() {
+		if r == api.ReleaseReason_RELEASE_REASON_FAILED {
+			failed++
+		}
+	}
+	assert.Equal(t, failed, 1)
+}
+
 // Guards P1 and the report of a lost generation: after tokens were delivered
 // nothing is started again, and the error says how many were.
 func TestLostAfterTokens(t *testing.T) {
@@ -124,6 +143,7 @@
 	}{
 		"lease ends":        {func(b *bed) { b.source.stale.Store(true) }, 2006},
 		"domain taken out":  {func(b *bed) { b.takeOut() }, 2004},
+		"account removed":   {func(b *bed) { b.removeAccount("one") }, 1003},
 		"target is drained": {func(b *bed) { b.drainTargets("llm-1") }, 2004},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -146,6 +166,12 @@
 	b.source.update(func(v *session.View) { v.Teams = map[string]session.Team{"farm": {Revision: 2, Settings: team}} })
 }
 
+func (b *bed) removeAccount(name string) {
+	team := parseSettings(b.t, true)
+	delete(team.Accounts, name)
+	b.source.update(func(v *session.View) { v.Teams = map[string]session.Team{"farm": {Revision: 2, Settings: team}} })
+}
+
 func (b *bed) drainTargets(names ...string) {
 	team := parseSettings(b.t, true)
 	for name, s := range team.Services {
@@ -247,6 +273,26 @@
 	}
 }
 
+// Guards against a caller that accepts no more bytes and would hold its stream
+// and its permit for good.
+func TestCallerThatStopsReadingIsGone(t *testing.T) {
+	b := newBed(t)
+	engine := newEngine(t, func(c *engineConn) {
+		c.open()
+		large := strings.Repeat("x", 32<<10)
+		for i := 0; c.r.Context().Err() == nil; i++ { // until the entry leaves
+			c.chunk(c.id, i, large, "")
+		}
+	}, gone)
+	b.offer("llm-1", engine.address())
+	resp, _ := b.startStream(context.Background(), 1)
+	defer resp.Body.Close()
+	eventually(t, "release", func() bool { return len(b.owner.releaseReasons()) == 1 })
+	b.entry.commands.Wait()
+	assert.Equal(t, b.owner.releaseReasons()[0], api.ReleaseReason_RELEASE_REASON_CANCELLED)
+	assert.Equal(t, engine.count("DELETE"), 1)
+}
+
 // Guards P1 over instances: a caller that lost its connection gets the rest of
 // the same generation elsewhere, and the former instance does not cancel it.
 func TestResumeAtAnotherInstance(t *testing.T) {
@@ -275,6 +321,34 @@
 	assert.Equal(t, first.owner.heldPermits(), 0)
 }
 
+// Guards a resume while the shard has no owner: the stream goes on, and the
+// next owner learns that this instance holds the permit.
+func TestResumeWithoutAnOwner(t *testing.T) {
+	b := newBed(t)
+	hold := make(chan struct{})
+	engine := newEngine(t, func(c *engineConn) { c.open(); c.tokens(c.offset, 4); <-hold; c.tokens(4, 6); c.finish(6) })
+	b.announce(targetKey, strings.Replace(announcement, "127.0.0.1:9000", engine.address(), 1))
+	b.source.update(func(v *session.View) { v.Assignments = map[session.ShardKey]*api.Assignment{} })
+	got := make(chan answer)
+	go func() { got <- b.call("GET", "/v1/generations/g1.llm.llm-1.p1~5-00ff?offset=2", callerKey, "") }()
+	eventually(t, "stream", func() bool { return engine.count("GET") == 1 })
+	b.source.update(func(v *session.View) {
+		v.Assignments = map[session.ShardKey]*api.Assignment{{Team: "farm", Service: "llm", Region: "home"}: {OwnerSession: 1, Epoch: 8}}
+	})
+	eventually(t, "report to the new owner", func() bool {
+		b.owner.mu.Lock()
+		defer b.owner.mu.Unlock()
+		for _, r := range b.owner.reports {
+			if r.GetFirstForEpoch() == 8 && r.GetPermits()[0].GetPermitId() == "p1.5" {
+				return true
+			}
+		}
+		return false
+	})
+	close(hold)
+	tokensOf(t, (<-got).body, 2, 6)
+}
+
 // Guards against two connections of one caller that displace each other: the
 // newer one takes the generation over within the instance.
 func TestResumeAtTheSameInstance(t *testing.T) {
@@ -304,10 +378,11 @@
 		}
 	})
 	replaced := make(chan struct{})
+	var once sync.Once
 	engine := newEngine(t, func(c *engineConn) { c.open(); c.tokens(0, 3); <-replaced; c.cut() },
 		func(c *engineConn) {
 			c.open()
-			close(replaced) // a newer reader ends the older stream
+			once.Do(func() { close(replaced) }) // a newer reader ends the older stream
 			c.tokens(3, 5)
 			time.Sleep(testTiming.Silence / 2) // time for the former instance to come back
 			c.tokens(5, 9)
@@ -344,6 +419,7 @@
 		{"/v1/generations/" + id + "?offset=-1", callerKey, 1010},
 		{"/v1/generations/" + id + "?offset=x", callerKey, 1010},
 		{"/v1/generations/" + id + "?offset=0", "", 1002},
+		{"/v1/generations/" + id + "?offset=0", otherKey, 1003},
 		{"/v1/generations/g1.llm.llm-1.p9~9-00?offset=4", callerKey, 1009},
 	} {
 		code, execution := b.call("GET", c.path, c.key, "").code(t)
