--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -14,14 +14,15 @@
 deployments=(balle-sahel maktabat)
 out_domain=(dakar-b nord-fes)
 
-# With 20 sequences, an engine of the stand-ins takes 30 ms per step and its
-# memory is nearly full: it then serves rate_per_engine requests per second of
-# the profiles' mix at max_tokens. That is its capacity.
+# Engines are short of memory: with 12 sequences of the profiles' mix at
+# max_tokens, memory_tokens are nearly full and an engine serves rate_per_engine
+# requests per second, which is its capacity. Beyond it, preemptions set in.
 max_tokens=600
-rate_per_engine=4.1
-steady_span=16 over_span=8 domain_span=10
+memory_tokens=9000
+rate_per_engine=3.6
+steady_span=20 over_span=8 domain_span=8
 # Sequences that an engine runs with the policy fixed-concurrency.
-fixed_limit=20
+fixed_limit=12
 
 finish() {
   local status=$?
@@ -69,13 +70,13 @@
     start_process "$dir" proxy "$bin/bench-proxy" -policy "$policy" -limit "$fixed_limit" -seed "$seed" -listen "$(addresses "$dir" entry)"
   fi
   # Engines start warm, and turn cold without warning now and then.
-  start_targets "$dir" "$name" "$seed" -warm-start -mean-warm 120s
+  start_targets "$dir" "$name" "$seed" -warm-start -mean-warm 120s -memory-tokens $memory_tokens
   wait_for 10 "$name: targets announced" all_targets_announced "$dir"
   # A load before the measured one fills caches and lets each policy learn.
   load "$dir" "$name" warm 4 60 -seed $((seed + 1000)) -burst-factor 1 &
   echo "$! $dir loadgen" >>"$pids_file"
   sleep 4
-  load "$dir" "$name" steady "$steady_span" 85 -burst-factor 2 -burst-period 4s -burst-length 1s
+  load "$dir" "$name" steady "$steady_span" 85 -burst-factor 3 -burst-period 20s -burst-length 6s
   load "$dir" "$name" over "$over_span" 130 -burst-factor 1
   load "$dir" "$name" domain "$domain_span" 60 -burst-factor 1 &
   local callers=$!
@@ -107,5 +108,5 @@
   : >"$pids_file"
   echo "$policy measured after ${SECONDS}s" >&2
 done
-"$bin/standin-measure" -run "$run" -policies "$(IFS=,; echo "${policies[*]}")" -deployments "$(IFS=,; echo "${deployments[*]}")" \
+"$bin/standin-measure" -run "$run" -warm 12 -policies "$(IFS=,; echo "${policies[*]}")" -deployments "$(IFS=,; echo "${deployments[*]}")" \
   -spans "steady=${steady_span}s,over=${over_span}s,domain=${domain_span}s"
--- a/standin/cmd/standin-measure/main.go
+++ b/standin/cmd/standin-measure/main.go
@@ -32,7 +32,7 @@
 	deployments := flag.String("deployments", "", "deployments, separated by commas")
 	spans := flag.String("spans", "", "arrival span of each phase: steady=20s,over=10s,domain=12s")
 	capacity := measure.Capacity{}
-	flag.IntVar(&capacity.Warm, "warm", 16, "sequences at which a warm engine reaches about nine tenths of its highest token rate")
+	flag.IntVar(&capacity.Warm, "warm", 12, "sequences that a warm engine bears")
 	flag.IntVar(&capacity.Cold, "cold", 4, "sequences that a cold engine bears")
 	flag.Parse()
 	if err := report(*run, strings.Split(*policies, ","), strings.Split(*deployments, ","), *spans, capacity); err != nil {
--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -29,8 +29,7 @@
 
 // Capacity says how many sequences an engine bears.
 type Capacity struct {
-	// Warm is the concurrency at which a warm engine reaches about nine tenths of its
-	// highest token rate.
+	// Warm is the concurrency up to which a warm engine runs without preemptions.
 	Warm int
 	// Cold is what it bears in cold start.
 	Cold int
