--- a/standin/cmd/standin-measure/main.go
+++ b/standin/cmd/standin-measure/main.go
@@ -181,7 +181,7 @@
 
 // summary is the last line: ratios to the best baseline, and the policy's own
 // figures. goodput is the rate of good tokens at 130 in 100 of the capacity as
-// a share of that at steady load.
+// a share of the best rate of any policy in any phase.
 type summary struct {
 	gap, preempt, stall, goodput, service, idle float64
 }
@@ -195,11 +195,17 @@
 		}
 		return ratio(of(own), b)
 	}
+	peak := 0.0
+	for _, r := range results {
+		for _, phase := range phases {
+			peak = max(peak, r[phase].Goodput)
+		}
+	}
 	return &summary{
 		gap:     to(measures[0].of),
 		preempt: to(measures[1].of),
 		stall:   to(measures[2].of),
-		goodput: ratio(own[phaseOver].Goodput, own[phaseSteady].Goodput),
+		goodput: ratio(own[phaseOver].Goodput, peak),
 		service: own[phaseDomain].Service,
 		idle:    own[phaseSteady].Idle,
 	}
--- a/standin/cmd/standin-verify/main.go
+++ b/standin/cmd/standin-verify/main.go
@@ -153,6 +153,9 @@
 	for _, n := range append(v.Notes, r.FirstErrors...) {
 		fmt.Println("  !", n)
 	}
+	for code, n := range r.Refusals {
+		fmt.Printf("  sent again after %s: %d\n", code, n)
+	}
 	for code, n := range r.Errors {
 		fmt.Printf("  error %s: %d\n", code, n)
 	}
--- a/standin/loadgen/direct.go
+++ b/standin/loadgen/direct.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -41,13 +42,14 @@
 	mu        sync.Mutex
 	addresses []string
 	until     time.Time
+	refusals  map[string]int
 }
 
 // NewDirect returns a caller at a place. seeds are the entry instances that it
 // asks first.
 func NewDirect(seeds []string, region, failureDomain, key string) *Direct {
 	return &Direct{
-		seeds: seeds, region: region, failureDomain: failureDomain, key: key,
+		seeds: seeds, region: region, failureDomain: failureDomain, key: key, refusals: map[string]int{},
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: 64,
@@ -150,14 +152,33 @@
 	return body.Error
 }
 
+// Refusals returns why requests were sent again, by code.
+func (d *Direct) Refusals() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.refusals)
+}
+
+func (d *Direct) noteRefusal(err error) {
+	name := "connection"
+	var ce *CallError
+	if errors.As(err, &ce) {
+		name = fmt.Sprintf("%d %s %s", ce.Code, ce.Name, ce.Execution)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refusals[name]++
+}
+
 // backoff waits before another attempt; false when ctx ended.
-func backoff(ctx context.Context, attempt int, err error) bool {
-	d := min(maxBackoff, firstBackoff<<min(attempt, 6))
+func (d *Direct) backoff(ctx context.Context, attempt int, err error) bool {
+	d.noteRefusal(err)
+	pause := min(maxBackoff, firstBackoff<<min(attempt, 6))
 	var ce *CallError
 	if errors.As(err, &ce) {
-		d = max(d, ce.retryAfter())
+		pause = max(pause, ce.retryAfter())
 	}
-	t := time.NewTimer(time.Duration(float64(d) * (0.5 + rand.Float64())))
+	t := time.NewTimer(time.Duration(float64(pause) * (0.5 + rand.Float64())))
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -195,7 +216,7 @@
 		if lost {
 			d.forget()
 		}
-		if !(mayRepeat(err) || lost && safe) || !backoff(ctx, answer.Sends, err) {
+		if !(mayRepeat(err) || lost && safe) || !d.backoff(ctx, answer.Sends, err) {
 			return answer, err
 		}
 	}
@@ -257,7 +278,7 @@
 		if ce == nil {
 			d.forget()
 		}
-		if !backoff(ctx, attempt, err) {
+		if !d.backoff(ctx, attempt, err) {
 			return g
 		}
 	}
--- a/standin/loadgen/report.go
+++ b/standin/loadgen/report.go
@@ -68,16 +68,19 @@
 	// Repeats are further attempts after "not run".
 	Repeats int `json:"repeats"`
 
-	Kinds       map[string]int       `json:"kinds"`
-	WholeKinds  map[string]int       `json:"whole_kinds"`
-	Errors      map[string]int       `json:"errors"` // by code, name and execution
-	FirstErrors []string             `json:"first_errors,omitempty"`
-	FirstToken  map[string]Quantiles `json:"first_token"` // by class
-	Gap         map[string]Quantiles `json:"gap"`         // time between tokens, by class
-	Latency     map[string]Quantiles `json:"latency"`     // whole request, by kind or class
-	Stalls      int                  `json:"stalls"`      // gaps beyond the stall bound
-	StallMS     float64              `json:"stall_ms"`    // their total length
-	Tokens      int                  `json:"tokens"`
+	Kinds       map[string]int `json:"kinds"`
+	WholeKinds  map[string]int `json:"whole_kinds"`
+	Errors      map[string]int `json:"errors"` // by code, name and execution
+	FirstErrors []string       `json:"first_errors,omitempty"`
+	// Refusals are attempts after which a request was sent again, by code; known
+	// of callers without the client package.
+	Refusals   map[string]int       `json:"refusals,omitempty"`
+	FirstToken map[string]Quantiles `json:"first_token"` // by class
+	Gap        map[string]Quantiles `json:"gap"`         // time between tokens, by class
+	Latency    map[string]Quantiles `json:"latency"`     // whole request, by kind or class
+	Stalls     int                  `json:"stalls"`      // gaps beyond the stall bound
+	StallMS    float64              `json:"stall_ms"`    // their total length
+	Tokens     int                  `json:"tokens"`
 	// GoodTokens are those that came within the first-token and gap bounds.
 	GoodTokens int `json:"good_tokens"`
 	// GoodRequests are generations that ended whole, with the first token in
--- a/standin/loadgen/run.go
+++ b/standin/loadgen/run.go
@@ -60,7 +60,16 @@
 		})
 	}
 	wg.Wait()
-	return r.finish()
+	report := r.finish()
+	report.Refusals = map[string]int{}
+	for _, c := range callers {
+		if d, ok := c.(*Direct); ok {
+			for code, n := range d.Refusals() {
+				report.Refusals[code] += n
+			}
+		}
+	}
+	return report
 }
 
 // request is one arrival under way.
