--- a/bench/slopes/owner.go
+++ b/bench/slopes/owner.go
@@ -71,7 +71,8 @@
 	if err := announceTargets(ctx, c, size.Targets); err != nil {
 		return OwnerCost{}, err
 	}
-	nodes := startNodes(ctx, 1, addresses(c.Controls), string(peerKey[:len(peerKey)-1]))
+	// The holder is in another region, so that the measured shard never moves to it.
+	nodes := startNodes(ctx, cluster.Places[2:], 1, addresses(c.Controls), string(peerKey[:len(peerKey)-1]))
 	defer nodes.stop()
 	holder := nodes.sessions[0]
 	shard := session.ShardKey{Team: cluster.Team, Service: cluster.EngineService, Region: cluster.Places[0].Region}
--- a/bench/slopes/sessions.go
+++ b/bench/slopes/sessions.go
@@ -62,12 +62,12 @@
 }
 
 // startNodes opens n sessions spread over the places.
-func startNodes(ctx context.Context, n int, controls []string, peerKey string) *lightNodes {
+func startNodes(ctx context.Context, places []cluster.Place, n int, controls []string, peerKey string) *lightNodes {
 	ctx, cancel := context.WithCancel(ctx)
 	nodes := &lightNodes{bytes: &byteCounter{}, cancel: cancel}
 	clock := timeline.NewClock(time.Now)
 	for i := range n {
-		place := cluster.Places[i%len(cluster.Places)]
+		place := places[i%len(places)]
 		s := session.New(session.Config{
 			Instance: &api.Instance{
 				Name: fmt.Sprintf("node-%03d", i), Incarnation: peerauth.NewKey()[:16],
@@ -120,7 +120,7 @@
 		return Cost{}, err
 	}
 	heapBefore := heapBytes()
-	nodes := startNodes(ctx, size.Sessions, addresses(c.Controls), string(key[:len(key)-1]))
+	nodes := startNodes(ctx, cluster.Places, size.Sessions, addresses(c.Controls), string(key[:len(key)-1]))
 	defer nodes.stop()
 	if err := cluster.WaitUntil(startCtx, "fresh sessions", func() bool { return nodes.allFresh(1) }); err != nil {
 		return Cost{}, err
--- a/standin/faults/matrix.go
+++ b/standin/faults/matrix.go
@@ -26,8 +26,8 @@
 	Cells, Failed, KnownRed, NotReached int
 }
 
-// Run runs the single cells in an order drawn from the seed, then pairs, until
-// the time is up or, with a zero Until, all single cells are done.
+// Run runs single cells in an order drawn from the seed, and pairs in between,
+// until the time is up. With a zero Until it runs every single cell once.
 func (m Matrix) Run(ctx context.Context) Summary {
 	jobs := make(chan []Cell)
 	var s Summary
@@ -58,16 +58,20 @@
 	cells := Cells()
 	rng.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
 	timeIsUp := func() bool {
-		return ctx.Err() != nil || !m.Until.IsZero() && time.Until(m.Until) < cellTime
+		return ctx.Err() != nil || time.Until(m.Until) < cellTime
 	}
-	for _, c := range cells {
-		if timeIsUp() {
-			return
+	if m.Until.IsZero() {
+		for _, c := range cells {
+			jobs <- []Cell{c}
 		}
-		jobs <- []Cell{c}
+		return
 	}
-	for !m.Until.IsZero() && !timeIsUp() {
+	for i := 0; !timeIsUp(); i++ {
+		jobs <- []Cell{cells[i%len(cells)]}
 		pair := Pair(rng)
+		if timeIsUp() {
+			return
+		}
 		jobs <- pair[:]
 	}
 }
