--- a/standin/cmd/standin-faults/main.go
+++ b/standin/cmd/standin-faults/main.go
@@ -21,6 +21,7 @@
 	parallel int
 	cell     string
 	list     bool
+	figures  bool
 	knownRed string
 }
 
@@ -31,6 +32,7 @@
 	flag.IntVar(&o.parallel, "parallel", 3, "deployments at one time, 15 processes each")
 	flag.StringVar(&o.cell, "cell", "", "run only this cell, or two joined by +")
 	flag.BoolVar(&o.list, "list", false, "list the cells")
+	flag.BoolVar(&o.figures, "figures", false, "measure times to obey and to recover instead")
 	flag.StringVar(&o.knownRed, "known-red", "KNOWN-RED.txt", "file that lists known failures")
 	flag.Parse()
 	if o.list {
@@ -55,6 +57,9 @@
 	if err := cluster.Build(ctx, ".", binDir); err != nil {
 		return err
 	}
+	if o.figures {
+		return faults.Figures(ctx, binDir, os.Stdout)
+	}
 	if o.cell != "" {
 		return runOne(ctx, o, binDir)
 	}
