Follow members to a new address; refuse a first entry of a lost coordinator

Cause: messages went only to the address in the membership. A delayed first entry of a coordinator whose disk was lost could put a voter into a group that nobody else belongs to; it is refused once the new incarnation has asked for entry. The simulation now also begins faults while the group forms.

--- a/internal/agreement/bootstrap.go
+++ b/internal/agreement/bootstrap.go
@@ -19,6 +19,8 @@
 	// unformed are the other first voters that answered and have no log, by
 	// name.
 	unformed map[string]Member
+	// seen are the newest incarnations that asked for entry, by name.
+	seen map[string]string
 	// exists is set once any node answered that a group exists. This node then
 	// never forms one.
 	exists bool
@@ -135,6 +137,11 @@
 	if c.formed() || c.log.last() > 0 || c.cfg.Self.Diskless {
 		return nil
 	}
+	if seen, ok := c.hello.seen[m.From.Name]; ok && seen != m.From.Incarnation {
+		// A late message of a coordinator whose disk was lost since; the new
+		// one may have formed another group.
+		return resultcode.Newf(resultcode.IdentityMismatch, "incarnation %q of %q was replaced", m.From.Incarnation, m.From.Name)
+	}
 	if len(m.Entries) != 1 || m.Entries[0].Index != 1 || m.Entries[0].Term != firstTerm || m.Entries[0].Type != wal.EntryMembership {
 		return malformed("first entry")
 	}
@@ -155,6 +162,10 @@
 	answer.Reject = c.formed()
 	c.sendEarly(answer)
 	if !c.formed() {
+		if c.hello.seen == nil {
+			c.hello.seen = map[string]string{}
+		}
+		c.hello.seen[m.From.Name] = m.From.Incarnation
 		return
 	}
 	if first, ok := c.firstMembership(); ok && m.Group == "" && first.isVoter(m.From.Incarnation) {
--- a/internal/agreement/change.go
+++ b/internal/agreement/change.go
@@ -108,9 +108,7 @@
 			x.Promote = true
 		}
 	}
-	if _, err := c.addLearner(x); err != nil {
-		c.event("agreement.admission_deferred", "name", x.Name, "reason", err.Error())
-	}
+	_, _ = c.addLearner(x) // refused while another change is open; x asks again
 }
 
 // repairMembers moves the replacement of a lost voter one step on: first its
@@ -126,7 +124,7 @@
 		}
 		if old, ok := c.lostIncarnation(x); ok {
 			if c.silentFor(old) >= c.cfg.ReplaceAfter {
-				_, _ = c.remove(old.Incarnation)
+				_, _ = c.remove(old.Incarnation) // tried again with the next heartbeat
 			}
 			return
 		}
--- a/internal/agreement/core.go
+++ b/internal/agreement/core.go
@@ -276,6 +276,10 @@
 	if c.formed() && m.Group != c.group() {
 		return resultcode.Newf(resultcode.IdentityMismatch, "message of group %q reached group %q", m.Group, c.group())
 	}
+	if p, ok := c.peers[m.From.Incarnation]; ok && m.From.Address != "" {
+		// The member may have been started at another address.
+		p.member.Address = m.From.Address
+	}
 	if m.Type == MsgPreVote {
 		c.onPreVote(m)
 		return nil
@@ -414,6 +418,9 @@
 	if s.Index > keep {
 		c.log.compact(s.Index - keep)
 	}
+	for len(c.memberships) > 1 && c.memberships[1].Index <= c.snapshot.Index {
+		c.memberships = c.memberships[1:]
+	}
 	return c.log.baseIndex
 }
 
--- a/internal/agreement/repair_test.go
+++ b/internal/agreement/repair_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -211,3 +213,49 @@
 		client.CloseIdleConnections()
 	}
 }
+
+// Guards against a member that stays cut off after its process was started at
+// another address on the same disk.
+func TestMemberMovesToAnotherAddress(t *testing.T) {
+	t.Parallel()
+	moved := false
+	g, ctx := newTestGroup(t, 3, func(c *Config) {
+		if moved {
+			c.Address = "address-new"
+		}
+	}), testDeadline(t)
+	g.propose(ctx, "first")
+	g.kill("c")
+	moved = true
+	g.start("c", "c")
+	g.propose(ctx, "second")
+	g.waitEqual(ctx, 2)
+}
+
+// Guards against a connection that goes silent for good and holds up all
+// later messages to the same address.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	t.Parallel()
+	ctx := testDeadline(t)
+	arrived, release := make(chan struct{}, 64), make(chan struct{})
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if calls.Add(1) == 1 {
+			<-release
+			return
+		}
+		arrived <- struct{}{}
+	}))
+	defer server.Close()
+	defer close(release)
+	address := server.Listener.Addr().String()
+	n, err := Start(Config{Name: "a", Address: "127.0.0.1:1", DataDir: t.TempDir(), Seeds: []string{address}},
+		&listMachine{}, NewTwirpTransport(server.Client()), nil)
+	assert.NilError(t, err)
+	defer n.Stop()
+	select {
+	case <-arrived:
+	case <-ctx.Done():
+		t.Fatal("no message after the silent connection")
+	}
+}
--- a/internal/agreement/sim_plan_test.go
+++ b/internal/agreement/sim_plan_test.go
@@ -36,7 +36,9 @@
 	for _, n := range w.nodes {
 		w.start(n)
 	}
-	w.run(1500 * time.Millisecond)
+	if w.rng.IntN(4) > 0 { // else faults begin while the group forms
+		w.run(1500 * time.Millisecond)
+	}
 	for _, a := range plan {
 		w.begin(a)
 		w.run(w.millis(0, 1500))
--- a/internal/agreement/sim_test.go
+++ b/internal/agreement/sim_test.go
@@ -272,6 +272,9 @@
 		if x.r.core == nil {
 			return false
 		}
+		if !x.r.core.formed() {
+			continue
+		}
 		voters, intact := x.r.core.members().voters(), 0
 		for _, v := range voters {
 			if v.Incarnation != own && !w.retired[v.Incarnation] {
--- a/internal/wal/fuzz_test.go
+++ b/internal/wal/fuzz_test.go
@@ -13,6 +13,10 @@
 	f.Add(appendRecord(nil, at, recordGroup, encodeGroup(HardState{Term: 5, Vote: "v"}, entries(7, 9, 5))))
 	f.Add(appendRecord(nil, at, recordHeader, encodeHeader(header{state: HardState{Term: 1}, reset: true, prevIndex: 4, prevTerm: 1})))
 	f.Add(appendRecord(nil, at, recordSnapshot, encodeSnapshot(Snapshot{Index: 4, Term: 1, Membership: []byte("m"), Data: []byte("d")})))
+	whole := appendRecord(nil, at, recordGroup, encodeGroup(HardState{Term: 5}, nil))
+	f.Add(whole[:len(whole)-1])
+	f.Add(make([]byte, 64))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0, 2})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		// The payload decoders must bear any bytes, also without a checksum.
 		_, _, _ = decodeGroup(data)
