Complete an operator's replacement of a voter under a later leader

Promote with a lost voter marks the learner in the same change that removes the lost one, so that the replacement goes on if the leader fails in between.

--- a/internal/agreement/change.go
+++ b/internal/agreement/change.go
@@ -91,6 +91,22 @@
 	return c.changeMembers(c.members().without(incarnation))
 }
 
+// replace removes a voter and marks the learner that takes its place.
+func (c *core) replace(old, incarnation string) (uint64, error) {
+	x, ok := c.members().find(incarnation)
+	if !ok || x.Diskless || (!x.Voter && !c.caughtUp(incarnation)) {
+		return 0, fmt.Errorf("%w: %q is not a learner with a disk that has caught up", ErrMembershipChange, incarnation)
+	}
+	if _, ok := c.members().find(old); !ok {
+		if x.Voter || x.Promote {
+			return 0, nil // an earlier call did this already
+		}
+		return 0, fmt.Errorf("%w: %q is not a member", ErrMembershipChange, old)
+	}
+	x.Promote = !x.Voter
+	return c.changeMembers(c.members().without(old).with(x))
+}
+
 func (c *core) caughtUp(incarnation string) bool {
 	p, ok := c.peers[incarnation]
 	return ok && p.match > 0 && p.match+c.cfg.MaxLag >= c.commit && c.now.Sub(p.contact) < c.cfg.ElectionTimeout
@@ -115,7 +131,7 @@
 // lost incarnation is removed, then the new one is promoted. In this order
 // neither step needs more voters than were needed before.
 func (c *core) repairMembers() {
-	if c.cfg.ReplaceAfter <= 0 || !c.rules.mayChange(c) {
+	if !c.rules.mayChange(c) {
 		return
 	}
 	for _, x := range c.members().Members {
@@ -123,7 +139,7 @@
 			continue
 		}
 		if old, ok := c.lostIncarnation(x); ok {
-			if c.silentFor(old) >= c.cfg.ReplaceAfter {
+			if c.cfg.ReplaceAfter > 0 && c.silentFor(old) >= c.cfg.ReplaceAfter {
 				_, _ = c.remove(old.Incarnation) // tried again with the next heartbeat
 			}
 			return
--- a/internal/agreement/propose.go
+++ b/internal/agreement/propose.go
@@ -131,20 +131,24 @@
 // Promote makes a learner that has caught up a voter. The voter incarnation
 // replaces, if not empty, is removed first, by a change of its own: removing
 // and adding in one change could let two majorities without a common member
-// decide.
+// decide. The first change marks the learner, so that a later leader completes
+// the replacement.
 func (n *Node) Promote(ctx context.Context, incarnation, replaces string) error {
-	if replaces != "" {
-		err := n.change(ctx, func(c *core) (uint64, error) {
-			if x, ok := c.members().find(incarnation); !ok || (!x.Voter && !c.caughtUp(incarnation)) {
-				return 0, fmt.Errorf("%w: %q is not a learner that has caught up", ErrMembershipChange, incarnation)
-			}
-			return c.remove(replaces)
-		})
-		if err != nil {
-			return err
-		}
+	if replaces == "" {
+		return n.change(ctx, func(c *core) (uint64, error) { return c.promote(incarnation) })
+	}
+	if err := n.change(ctx, func(c *core) (uint64, error) { return c.replace(replaces, incarnation) }); err != nil {
+		return err
+	}
+	lost := false
+	err := n.WaitStatus(ctx, func(s Status) bool {
+		lost = s.Role != Leader
+		return lost || membership{Members: s.Members}.isVoter(incarnation)
+	})
+	if err != nil || lost {
+		return errors.Join(ErrOutcomeUnknown, err)
 	}
-	return n.change(ctx, func(c *core) (uint64, error) { return c.promote(incarnation) })
+	return n.change(ctx, func(c *core) (uint64, error) { return c.members().Index, nil })
 }
 
 // Remove takes a member out of the group.
--- a/internal/agreement/sim_run_test.go
+++ b/internal/agreement/sim_run_test.go
@@ -46,7 +46,8 @@
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		t.Logf("%6d %s", counts[name], name)
 	}
-	for _, name := range []string{"crash", "disk lost", "disk lost again", "election", "snapshot installed", "calls"} {
+	for _, name := range []string{"crash", "disk lost", "disk lost again", "election", "snapshot installed", "calls",
+		"fault point wal.before_identity_rename", "fault point wal.after_identity_rename"} {
 		assert.Assert(t, counts[name] > 0, "the runs contain no %s", name)
 	}
 }
--- a/internal/agreement/sim_test.go
+++ b/internal/agreement/sim_test.go
@@ -186,6 +186,9 @@
 	if n.diskless {
 		dir = ""
 	}
+	if !n.diskless && n.disk.Bytes() == 0 && w.rng.IntN(6) == 0 {
+		n.faultIn = 1 + w.rng.IntN(5) // the first steps on an empty disk
+	}
 	defer w.armFaults(n)()
 	store, state, self, err := openStorage(dir, o, self, func() string { return w.identity(n) })
 	if err != nil {
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -14,6 +14,8 @@
 
 // SaveSnapshot makes s durable and then removes the older snapshots.
 func (l *Log) SaveSnapshot(s Snapshot) error {
+	l.snapshots.Lock()
+	defer l.snapshots.Unlock()
 	if err := l.failure(); err != nil {
 		return err
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -12,6 +12,7 @@
 	"io"
 	"path/filepath"
 	"slices"
+	"sync"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
@@ -86,6 +87,10 @@
 	state    HardState
 	buf      []byte
 	failed   atomic.Pointer[error]
+
+	// snapshots orders a snapshot of the own state and one that is received at
+	// the same time; both remove older files.
+	snapshots sync.Mutex
 }
 
 // Open reads a folder, creates it if it does not exist, and starts a new
