Let a first voter vote before it has an entry

Cause: a first voter that was cut off from the start has no log, so it did not vote; another node can hand it the first entry only while that is in the log. Ruled out: a lost vote or a lost identity; its incarnation is in the candidate's membership and it never voted under it. Conclusion: a vote request names the voter's incarnation, so the candidate's log lists it; an empty first voter may answer. A node without a log keeps to the first group that addresses it.

--- a/internal/agreement/bootstrap.go
+++ b/internal/agreement/bootstrap.go
@@ -21,6 +21,8 @@
 	unformed map[string]Member
 	// seen are the newest incarnations that asked for entry, by name.
 	seen map[string]string
+	// group is the first group that addressed this incarnation.
+	group string
 	// exists is set once any node answered that a group exists. This node then
 	// never forms one.
 	exists bool
--- a/internal/agreement/core.go
+++ b/internal/agreement/core.go
@@ -273,8 +273,8 @@
 	case MsgForm:
 		return c.onForm(m)
 	}
-	if c.formed() && m.Group != c.group() {
-		return resultcode.Newf(resultcode.IdentityMismatch, "message of group %q reached group %q", m.Group, c.group())
+	if err := c.checkGroup(m); err != nil {
+		return err
 	}
 	if p, ok := c.peers[m.From.Incarnation]; ok && m.From.Address != "" {
 		// The member may have been started at another address.
@@ -294,6 +294,22 @@
 	return c.stepInTerm(m)
 }
 
+// checkGroup refuses messages of another group. A node that has no entry yet
+// keeps to the first group that addresses it.
+func (c *core) checkGroup(m Message) error {
+	group := c.group()
+	if !c.formed() {
+		if c.hello.group == "" {
+			c.hello.group = m.Group
+		}
+		group = c.hello.group
+	}
+	if m.Group != group {
+		return resultcode.Newf(resultcode.IdentityMismatch, "message of group %q reached group %q", m.Group, group)
+	}
+	return nil
+}
+
 func (c *core) stepInTerm(m Message) error {
 	if m.Term < c.state.Term {
 		c.answerOldTerm(m)
--- a/internal/agreement/rules.go
+++ b/internal/agreement/rules.go
@@ -1,6 +1,9 @@
 package agreement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // rules are the decisions on which safety rests. Tests replace single ones to
 // show that the simulation notices.
@@ -43,11 +46,19 @@
 
 // mayVote: a learner with a disk answers too, since its promotion may be in
 // the candidate's log and not yet in its own, and only the candidate's members
-// decide whether its vote counts. A node that its log does not list and one
-// without a disk must not vote.
+// decide whether its vote counts. A first voter answers before it has an entry:
+// it is asked by its incarnation, so the candidate's log names it, and it has
+// never voted under this incarnation. Any other node without a log, and one
+// without a disk, must not vote.
 func mayVote(c *core) bool {
+	if c.cfg.Self.Diskless {
+		return false
+	}
+	if !c.formed() {
+		return slices.ContainsFunc(c.cfg.Bootstrap, func(b Member) bool { return b.Name == c.cfg.Self.Name })
+	}
 	_, listed := c.members().find(c.cfg.Self.Incarnation)
-	return listed && !c.cfg.Self.Diskless
+	return listed
 }
 
 func logUpToDate(c *core, m Message) bool {
--- a/internal/agreement/sim_run_test.go
+++ b/internal/agreement/sim_run_test.go
@@ -52,6 +52,28 @@
 	}
 }
 
+// Guards against a group that cannot elect a leader because a first voter has
+// not received a single entry when another one loses its disk, and the first
+// entry is no longer in the log.
+func TestFirstVoterWithoutEntriesVotes(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newSimWorld(seed, 3)
+		for _, n := range w.nodes {
+			w.start(n)
+		}
+		for !w.node("a").up || !w.node("a").r.core.formed() {
+			w.run(simStep)
+		}
+		w.cut(simAction{Kind: "isolate"}, w.node("c"), w.now.Add(4*time.Second))
+		w.messages = slices.DeleteFunc(w.messages, func(m simMessage) bool { return m.ToAddress == "c" })
+		w.run(4 * time.Second)
+		lost := w.loseDisk(w.node("a"))
+		assert.Assert(t, lost && !w.node("c").r.core.formed() && w.node("b").r.core.log.baseIndex > 0, "seed %d", seed)
+		w.settle()
+		assert.NilError(t, w.broken)
+	}
+}
+
 // mutation replaces one rule by a wrong one.
 type mutation struct {
 	check string // the check that must notice
