control: forwarders add the content of renewals from their own state

Cause: when a region of 185 instances returns after a partition, each fetched the whole settings (358 kB with 1,800 client accounts) from the leader over the 30 Mbit/s link, 66 MB in all; a renewal may take 1 s, so none would complete. Ruled out: longer calls (the lease is 2 s); differences to the revision before do not help an instance that missed more than one. Now a forwarding instance asks the leader for the lease and the version only, waits until its own state shows that version and adds the content. Entry instances ask the leader if it is in their region, else an instance that is.

Also: the settings are parsed without the session's lock, since Fresh waited for it (52 ms with 1,800 accounts); a version that is not in the log here counts as a violation only after a read barrier, since a leader replaced a moment ago meets it without fault.

--- a/cmd/endivetrack-control/run.go
+++ b/cmd/endivetrack-control/run.go
@@ -73,6 +73,7 @@
 	server := control.New(control.Config{
 		Name:                  cfg.Name,
 		Address:               cfg.Advertise,
+		Region:                cfg.Region,
 		Log:                   node,
 		Machine:               machine,
 		BootstrapOperatorKeys: cfg.operatorKeys(),
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -62,18 +62,28 @@
 
 var _ Log = (*agreement.Node)(nil)
 
+// Calls are what a control instance serves.
+type Calls interface {
+	api.ControlCommand
+	api.ControlQuery
+}
+
 // Config is what a Server is built of.
 type Config struct {
-	// Name and Address are this instance's.
+	// Name, Address and Region are this instance's.
 	Name    string
 	Address string
+	Region  string
 	Log     Log
 	Machine *state.Machine
 	// BootstrapOperatorKeys are digests of keys, by team, that may create the
 	// team's first settings.
 	BootstrapOperatorKeys map[string][]string
 	// Peers calls the other control instances.
-	Peers    *http.Client
+	Peers *http.Client
+	// Connect returns the calls of another control instance. Default: twirp
+	// over Peers.
+	Connect  func(address string) Calls
 	Logger   zerolog.Logger
 	Metrics  tally.Scope
 	Timeline *timeline.Recorder
@@ -92,10 +102,7 @@
 	kick chan struct{}
 }
 
-var (
-	_ api.ControlCommand = (*Server)(nil)
-	_ api.ControlQuery   = (*Server)(nil)
-)
+var _ Calls = (*Server)(nil)
 
 type metrics struct {
 	renewals, renewalsRefused, answersBuilt, answersShared tally.Counter
@@ -124,6 +131,9 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
+	if cfg.Connect == nil {
+		cfg.Connect = func(address string) Calls { return twirpCalls(address, cfg.Peers) }
+	}
 	return &Server{
 		cfg:     cfg,
 		log:     cfg.Log,
--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -34,7 +34,7 @@
 // to the leader once.
 func atLeader[Req, Resp any](ctx context.Context, s *Server, req Req,
 	local func(context.Context, *term, Req) (Resp, error),
-	remote func(address string) func(context.Context, Req) (Resp, error),
+	remote func(leader Calls) func(context.Context, Req) (Resp, error),
 ) (Resp, error) {
 	var none Resp
 	if t := s.currentTerm(); t != nil {
@@ -42,9 +42,10 @@
 		return resp, resultcode.ToTwirp(err)
 	}
 	leader := s.log.Status().LeaderAddress
-	if leader == "" || leader == s.cfg.Address || s.cfg.Peers == nil || ctx.Value(forwardedKey{}) != nil {
+	if leader == "" || leader == s.cfg.Address || ctx.Value(forwardedKey{}) != nil {
 		return none, resultcode.ToTwirp(notLeaderError(leader))
 	}
+	ctx = context.WithValue(ctx, forwardedKey{}, true)
 	ctx, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{forwardedHeader: {"1"}})
 	if err != nil {
 		return none, resultcode.ToTwirp(err)
@@ -52,7 +53,7 @@
 	s.metrics.forwarded.Inc(1)
 	ctx, cancel := s.whileLeader(ctx, leader)
 	defer cancel()
-	resp, err := remote(leader)(ctx, req)
+	resp, err := remote(s.cfg.Connect(leader))(ctx, req)
 	if errors.Is(err, context.Canceled) {
 		err = resultcode.Newf(resultcode.ControlUnavailable, "the leader changed").WithExecution(resultcode.Unknown)
 	}
@@ -79,12 +80,15 @@
 	return ctx, cancel
 }
 
-func (s *Server) commandAt(address string) api.ControlCommand {
-	return api.NewControlCommandProtobufClient("http://"+address, s.cfg.Peers)
-}
-
-func (s *Server) queryAt(address string) api.ControlQuery {
-	return api.NewControlQueryProtobufClient("http://"+address, s.cfg.Peers)
+// twirpCalls returns the calls of another control instance over HTTP.
+func twirpCalls(address string, client *http.Client) Calls {
+	return struct {
+		api.ControlCommand
+		api.ControlQuery
+	}{
+		api.NewControlCommandProtobufClient("http://"+address, client),
+		api.NewControlQueryProtobufClient("http://"+address, client),
+	}
 }
 
 func uintString(n uint64) string { return strconv.FormatUint(n, 10) }
--- a/internal/control/inforce.go
+++ b/internal/control/inforce.go
@@ -13,8 +13,8 @@
 // no new work because its lease has ended. It answers early once the state is
 // in force everywhere.
 func (s *Server) InForce(ctx context.Context, req *api.InForceRequest) (*api.InForceResponse, error) {
-	return atLeader(ctx, s, req, s.inForce, func(a string) func(context.Context, *api.InForceRequest) (*api.InForceResponse, error) {
-		return s.queryAt(a).InForce
+	return atLeader(ctx, s, req, s.inForce, func(leader Calls) func(context.Context, *api.InForceRequest) (*api.InForceResponse, error) {
+		return leader.InForce
 	})
 }
 
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -13,8 +13,8 @@
 
 // ChangeMember changes the members of the agreement group.
 func (s *Server) ChangeMember(ctx context.Context, req *api.ChangeMemberRequest) (*api.ChangeMemberResponse, error) {
-	return atLeader(ctx, s, req, s.changeMember, func(a string) func(context.Context, *api.ChangeMemberRequest) (*api.ChangeMemberResponse, error) {
-		return s.commandAt(a).ChangeMember
+	return atLeader(ctx, s, req, s.changeMember, func(leader Calls) func(context.Context, *api.ChangeMemberRequest) (*api.ChangeMemberResponse, error) {
+		return leader.ChangeMember
 	})
 }
 
@@ -47,8 +47,8 @@
 	if s.currentTerm() == nil && s.log.Status().LeaderAddress == "" {
 		return s.localStatus(), nil
 	}
-	return atLeader(ctx, s, req, s.status, func(a string) func(context.Context, *api.StatusRequest) (*api.StatusResponse, error) {
-		return s.queryAt(a).Status
+	return atLeader(ctx, s, req, s.status, func(leader Calls) func(context.Context, *api.StatusRequest) (*api.StatusResponse, error) {
+		return leader.Status
 	})
 }
 
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -176,3 +176,23 @@
 		assert.Assert(t, built <= 20, "%d answers built for one change and its assignments", built)
 	})
 }
+
+// Guards against old content under a new lease: an instance that forwards a
+// renewal adds the content from its own state, which lags behind the leader's.
+// Caught mutation: renewAt without awaitVersion.
+func TestForwardedRenewalIsNotOlderThanLeader(t *testing.T) {
+	bubble(t, func(ctx context.Context, t *testing.T) {
+		g := startGroup(ctx, 3)
+		id := openDirectly(ctx, t, g)
+		for i := range uint64(10) {
+			version, err := g.apply(ctx, i, fmt.Sprint("change-", i), settingsText(""))
+			assert.NilError(t, err)
+			resp, err := g.servers[1].Renew(ctx, &api.RenewRequest{SessionId: id})
+			assert.NilError(t, err)
+			assert.Assert(t, resp.GetVersion() >= version, "version %d after %d", resp.GetVersion(), version)
+			assert.Equal(t, resp.GetSettings()[0].GetRevision(), i+1)
+			assert.Equal(t, resp.GetAnsweredRegion(), "dakar")
+			assert.Equal(t, resp.GetLeaseMs(), uint32(2000))
+		}
+	})
+}
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/process"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
@@ -22,8 +24,8 @@
 
 // OpenSession opens a session; an older one of the same name is replaced.
 func (s *Server) OpenSession(ctx context.Context, req *api.OpenSessionRequest) (*api.OpenSessionResponse, error) {
-	return atLeader(ctx, s, req, s.openSession, func(a string) func(context.Context, *api.OpenSessionRequest) (*api.OpenSessionResponse, error) {
-		return s.commandAt(a).OpenSession
+	return atLeader(ctx, s, req, s.openSession, func(leader Calls) func(context.Context, *api.OpenSessionRequest) (*api.OpenSessionResponse, error) {
+		return leader.OpenSession
 	})
 }
 
@@ -45,8 +47,8 @@
 
 // CloseSession ends a session whose holder does no new work any more.
 func (s *Server) CloseSession(ctx context.Context, req *api.CloseSessionRequest) (*api.CloseSessionResponse, error) {
-	return atLeader(ctx, s, req, s.closeSession, func(a string) func(context.Context, *api.CloseSessionRequest) (*api.CloseSessionResponse, error) {
-		return s.commandAt(a).CloseSession
+	return atLeader(ctx, s, req, s.closeSession, func(leader Calls) func(context.Context, *api.CloseSessionRequest) (*api.CloseSessionResponse, error) {
+		return leader.CloseSession
 	})
 }
 
@@ -61,11 +63,56 @@
 // Renew answers at once when there is something newer than the caller has
 // seen, else after at most wait_ms.
 func (s *Server) Renew(ctx context.Context, req *api.RenewRequest) (*api.RenewResponse, error) {
-	return atLeader(ctx, s, req, s.renew, func(a string) func(context.Context, *api.RenewRequest) (*api.RenewResponse, error) {
-		return s.commandAt(a).Renew
+	return atLeader(ctx, s, req, s.renew, func(leader Calls) func(context.Context, *api.RenewRequest) (*api.RenewResponse, error) {
+		return func(ctx context.Context, req *api.RenewRequest) (*api.RenewResponse, error) {
+			return s.renewAt(ctx, leader, req)
+		}
 	})
 }
 
+// renewAt has the leader renew the session and adds the content from the state
+// here. When a region returns after a partition, hundreds of sessions need the
+// whole settings at once; fetched from the leader each, they would fill the
+// link for longer than a renewal may take.
+//
+// Invariant: the answer contains all state committed up to the moment the
+// leader built its own, since the state here has reached the leader's version.
+func (s *Server) renewAt(ctx context.Context, leader api.ControlCommand, req *api.RenewRequest) (*api.RenewResponse, error) {
+	req = proto.CloneOf(req)
+	req.WithoutContent = true
+	granted, err := leader.Renew(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.awaitVersion(ctx, granted.GetVersion()); err != nil {
+		return nil, err
+	}
+	resp, known := s.answers.get(s, req, granted.GetControlAddresses())
+	if !known {
+		return nil, resultcode.ToTwirp(sessionUnknown(req))
+	}
+	return resp, nil
+}
+
+// awaitVersion waits until the state here shows at least the version.
+func (s *Server) awaitVersion(ctx context.Context, version uint64) error {
+	timer := time.NewTimer(applyWait)
+	defer timer.Stop()
+	for {
+		have, changed := s.machine.ViewVersion()
+		if have >= version {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			return resultcode.ToTwirp(resultcode.Newf(resultcode.ControlUnavailable, "the state here is at version %d, the leader's at %d", have, version))
+		}
+	}
+}
+
 func (s *Server) renew(ctx context.Context, t *term, req *api.RenewRequest) (*api.RenewResponse, error) {
 	if err := s.acknowledge(ctx, t, req); err != nil {
 		s.metrics.renewalsRefused.Inc(1)
@@ -95,10 +142,9 @@
 		return sessionUnknown(req)
 	}
 	if req.GetSeenVersion() > index {
-		if !s.leading(t) {
-			return s.noLeaderHere()
+		if err := s.checkSeen(ctx, req); err != nil {
+			return err
 		}
-		return s.violated("a session has seen a version that is not in the log")
 	}
 	progress, alive := t.acknowledge(req.GetSessionId(), req.GetSeenVersion())
 	if !alive {
@@ -114,6 +160,21 @@
 	return nil
 }
 
+// checkSeen is called for a version that is not in the log here. A leader that
+// was replaced a moment ago meets it without fault; after a read barrier it
+// means that committed state was lost.
+func (s *Server) checkSeen(ctx context.Context, req *api.RenewRequest) error {
+	if _, err := s.log.ReadBarrier(ctx); err != nil {
+		return s.noLeaderHere()
+	}
+	var index uint64
+	s.machine.Read(func(st *model.State) { index = st.Index })
+	if req.GetSeenVersion() > index {
+		return s.violated("a session has seen a version that is not in the log")
+	}
+	return nil
+}
+
 func sessionUnknown(req *api.RenewRequest) *resultcode.Error {
 	return resultcode.Newf(resultcode.SessionUnknown, "session %d", req.GetSessionId())
 }
@@ -149,7 +210,15 @@
 	if !s.leading(t) || !s.appliedAll(ctx) {
 		return nil, s.noLeaderHere()
 	}
-	resp, known := s.answers.get(s, req)
+	addresses := s.controlAddresses()
+	if req.GetWithoutContent() {
+		version, _ := s.machine.ViewVersion()
+		if !t.extend(req.GetSessionId()) {
+			return nil, sessionUnknown(req)
+		}
+		return &api.RenewResponse{Version: version, ControlAddresses: addresses}, nil
+	}
+	resp, known := s.answers.get(s, req, addresses)
 	if !known || !t.extend(req.GetSessionId()) {
 		return nil, sessionUnknown(req)
 	}
@@ -185,8 +254,7 @@
 // get returns the answer for the caller; known is false when its session is not
 // in the state. The session is looked up and the answer chosen under one read
 // lock, so that they belong to the same version.
-func (c *answerCache) get(s *Server, req *api.RenewRequest) (resp *api.RenewResponse, known bool) {
-	addresses := s.controlAddresses()
+func (c *answerCache) get(s *Server, req *api.RenewRequest, addresses []string) (resp *api.RenewResponse, known bool) {
 	s.machine.Read(func(st *model.State) {
 		x := st.Sessions[req.GetSessionId()]
 		if known = x != nil && !x.Replaced; !known {
@@ -212,6 +280,7 @@
 	resp := query.RenewAnswer(st, seen)
 	resp.LeaseMs = uint32(LeaseDuration.Milliseconds())
 	resp.ControlAddresses = addresses
+	resp.AnsweredRegion = s.cfg.Region
 	c.bySeen[seen] = resp
 	return resp
 }
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -14,8 +14,8 @@
 
 // ApplySettings changes a team's settings.
 func (s *Server) ApplySettings(ctx context.Context, req *api.ApplySettingsRequest) (*api.ApplySettingsResponse, error) {
-	return atLeader(ctx, s, req, s.applySettings, func(a string) func(context.Context, *api.ApplySettingsRequest) (*api.ApplySettingsResponse, error) {
-		return s.commandAt(a).ApplySettings
+	return atLeader(ctx, s, req, s.applySettings, func(leader Calls) func(context.Context, *api.ApplySettingsRequest) (*api.ApplySettingsResponse, error) {
+		return leader.ApplySettings
 	})
 }
 
@@ -60,8 +60,8 @@
 
 // ReadSettings returns a team's newest settings.
 func (s *Server) ReadSettings(ctx context.Context, req *api.ReadSettingsRequest) (*api.ReadSettingsResponse, error) {
-	return atLeader(ctx, s, req, s.readSettings, func(a string) func(context.Context, *api.ReadSettingsRequest) (*api.ReadSettingsResponse, error) {
-		return s.queryAt(a).ReadSettings
+	return atLeader(ctx, s, req, s.readSettings, func(leader Calls) func(context.Context, *api.ReadSettingsRequest) (*api.ReadSettingsResponse, error) {
+		return leader.ReadSettings
 	})
 }
 
--- a/internal/control/writes.go
+++ b/internal/control/writes.go
@@ -8,8 +8,8 @@
 
 // BeginWrite commits the intent to dispatch a protected write.
 func (s *Server) BeginWrite(ctx context.Context, req *api.BeginWriteRequest) (*api.BeginWriteResponse, error) {
-	return atLeader(ctx, s, req, s.beginWrite, func(a string) func(context.Context, *api.BeginWriteRequest) (*api.BeginWriteResponse, error) {
-		return s.commandAt(a).BeginWrite
+	return atLeader(ctx, s, req, s.beginWrite, func(leader Calls) func(context.Context, *api.BeginWriteRequest) (*api.BeginWriteResponse, error) {
+		return leader.BeginWrite
 	})
 }
 
@@ -19,8 +19,8 @@
 
 // EndWrite commits the answer of a protected write, or that it did not run.
 func (s *Server) EndWrite(ctx context.Context, req *api.EndWriteRequest) (*api.EndWriteResponse, error) {
-	return atLeader(ctx, s, req, s.endWrite, func(a string) func(context.Context, *api.EndWriteRequest) (*api.EndWriteResponse, error) {
-		return s.commandAt(a).EndWrite
+	return atLeader(ctx, s, req, s.endWrite, func(leader Calls) func(context.Context, *api.EndWriteRequest) (*api.EndWriteResponse, error) {
+		return leader.EndWrite
 	})
 }
 
@@ -30,8 +30,8 @@
 
 // AcquireLoad takes or refreshes a slot for loading weights.
 func (s *Server) AcquireLoad(ctx context.Context, req *api.AcquireLoadRequest) (*api.AcquireLoadResponse, error) {
-	return atLeader(ctx, s, req, s.acquireLoad, func(a string) func(context.Context, *api.AcquireLoadRequest) (*api.AcquireLoadResponse, error) {
-		return s.commandAt(a).AcquireLoad
+	return atLeader(ctx, s, req, s.acquireLoad, func(leader Calls) func(context.Context, *api.AcquireLoadRequest) (*api.AcquireLoadResponse, error) {
+		return leader.AcquireLoad
 	})
 }
 
@@ -41,8 +41,8 @@
 
 // ReleaseLoad frees a slot.
 func (s *Server) ReleaseLoad(ctx context.Context, req *api.ReleaseLoadRequest) (*api.ReleaseLoadResponse, error) {
-	return atLeader(ctx, s, req, s.releaseLoad, func(a string) func(context.Context, *api.ReleaseLoadRequest) (*api.ReleaseLoadResponse, error) {
-		return s.commandAt(a).ReleaseLoad
+	return atLeader(ctx, s, req, s.releaseLoad, func(leader Calls) func(context.Context, *api.ReleaseLoadRequest) (*api.ReleaseLoadResponse, error) {
+		return leader.ReleaseLoad
 	})
 }
 
--- a/internal/session/accept.go
+++ b/internal/session/accept.go
@@ -18,11 +18,11 @@
 
 // accept applies an answer's content and then extends the lease, which counts
 // from the moment the request was sent. An answer that cannot be applied as a
-// whole extends nothing.
+// whole extends nothing. Only the renewal loop calls it, so the view does not
+// change while the next one is built without the lock: parsing the settings of
+// 1,800 client accounts takes tens of milliseconds, and Fresh must not wait.
 func (s *Session) accept(id uint64, sent time.Time, resp *api.RenewResponse) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.id != id {
+	if s.SessionID() != id {
 		return resultcode.Newf(resultcode.SessionUnknown, "the session was replaced while it was renewed")
 	}
 	old := s.view.Load()
@@ -30,11 +30,16 @@
 		s.metrics.refusedAnswers.Inc(1)
 		return resultcode.Newf(resultcode.StaleEpoch, "answer of version %d, have %d", resp.GetVersion(), old.Version)
 	}
+	next := old
 	if resp.GetVersion() > old.Version || !slices.Equal(resp.GetControlAddresses(), old.ControlAddresses) {
-		next, err := nextView(old, resp)
-		if err != nil {
+		var err error
+		if next, err = nextView(old, resp); err != nil {
 			return s.refuse(resultcode.From(err))
 		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if next != old {
 		s.view.Store(next)
 		close(s.changed)
 		s.changed = make(chan struct{})
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -30,8 +30,6 @@
 	// failPause is the pause before the next instance after a call that failed
 	// at once.
 	failPause = 50 * time.Millisecond
-	// avoidFor is how long a control instance that did not answer is asked last.
-	avoidFor = 5 * time.Second
 	// closeTimeout bounds the call that closes the session at a planned stop.
 	closeTimeout = time.Second
 )
@@ -103,7 +101,7 @@
 			lateLease:           cfg.Metrics.Counter("session_lease_lapses"),
 		},
 		changed:   make(chan struct{}),
-		addresses: newAddressList(cfg.ControlAddresses),
+		addresses: newAddressList(cfg.Instance.GetRegion(), cfg.ControlAddresses),
 	}
 	s.view.Store(&View{Teams: map[string]Team{}, Assignments: map[ShardKey]*api.Assignment{}})
 	return s
@@ -283,7 +281,7 @@
 	}
 	if a.err == nil {
 		s.metrics.renewals.Inc(1)
-		s.addresses.answered(a.address, a.resp.GetControlAddresses())
+		s.addresses.answered(a.address, a.resp)
 		return true
 	}
 	s.metrics.renewalsFailed.Inc(1)
@@ -306,69 +304,3 @@
 	case <-t.C:
 	}
 }
-
-// addressList orders the control instances: the leader that the last answer
-// named first, those that lately failed last.
-type addressList struct {
-	configured []string
-	all        []string
-	avoid      map[string]time.Time // until when
-	tried      map[string]bool      // since the last answer
-}
-
-func newAddressList(configured []string) addressList {
-	return addressList{
-		configured: configured,
-		all:        slices.Clone(configured),
-		avoid:      map[string]time.Time{},
-		tried:      map[string]bool{},
-	}
-}
-
-// next returns the instance to ask and marks it as tried: the first that was
-// not tried since the last answer, of those that lately failed only when there
-// is no other.
-func (l *addressList) next(now time.Time) string {
-	for range 2 {
-		for _, failedToo := range []bool{false, true} {
-			for _, a := range l.all {
-				if !l.tried[a] && (failedToo || now.After(l.avoid[a])) {
-					l.tried[a] = true
-					return a
-				}
-			}
-		}
-		clear(l.tried)
-	}
-	return ""
-}
-
-func (l *addressList) failed(address string, now time.Time) { l.avoid[address] = now.Add(avoidFor) }
-
-// silent notes the instances that had not answered when answered did.
-func (l *addressList) silent(outstanding map[string]int, answered string, now time.Time) {
-	for a := range outstanding {
-		if a != answered {
-			l.failed(a, now)
-		}
-	}
-}
-
-// answered takes over the list of an answer, which names the leader first. The
-// configured instances stay at its end: the named ones may all be replaced
-// while this process cannot reach any.
-func (l *addressList) answered(address string, named []string) {
-	clear(l.tried)
-	delete(l.avoid, address)
-	l.all = slices.Clone(named)
-	for _, a := range l.configured {
-		if !slices.Contains(l.all, a) {
-			l.all = append(l.all, a)
-		}
-	}
-	for a := range l.avoid {
-		if !slices.Contains(l.all, a) {
-			delete(l.avoid, a)
-		}
-	}
-}
