--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -21,6 +21,9 @@
 	releasedTTL = 5 * time.Second
 )
 
+// cleanInterval is the time between two searches for what can be forgotten.
+const cleanInterval = time.Second
+
 // extrapolation bounds how far progress is extrapolated beyond a report.
 const extrapolation = 2 * time.Second
 
@@ -169,14 +172,18 @@
 	if ms := progress.GetFirstTokenMs(); ms > 0 && last.GetFirstTokenMs() == 0 && t.limit != nil {
 		t.limit.FirstToken(time.Duration(ms) * time.Millisecond)
 	}
-	if progress.GetPreemptions() > last.GetPreemptions() {
+	preempted := progress.GetPreemptions() > last.GetPreemptions()
+	if preempted {
 		t.sample.Preempted = true
 	}
-	tokens := float64(length) - float64(last.GetOutputTokens())
+	tokens := length - int(last.GetOutputTokens())
 	if us := progress.GetMeanGapUs(); us > 0 && tokens > 0 {
-		t.gapTokens += tokens
+		t.gapTokens += float64(tokens)
 		gap := time.Duration(us) * time.Microsecond
-		t.sample.Gap += time.Duration(float64(gap-t.sample.Gap) * tokens / t.gapTokens)
+		t.sample.Gap += time.Duration(float64(gap-t.sample.Gap) * float64(tokens) / t.gapTokens)
+		if !preempted && t.limit != nil {
+			t.limit.Report(tokens, max(t.sample.InFlight, len(t.permits)), gap)
+		}
 	}
 }
 
@@ -206,15 +213,40 @@
 	}
 }
 
-// Tick does the shard's periodic work.
-func (s *Shard) Tick(now time.Time) {
+// clean forgets permits released and targets silent for long.
+func (s *Shard) clean(now time.Time) {
+	s.cleaned = now
 	maps.DeleteFunc(s.released, func(_ string, at time.Time) bool { return now.Sub(at) > releasedTTL })
 	maps.DeleteFunc(s.targets, func(_ string, t *target) bool {
 		return len(t.permits) == 0 && now.Sub(t.seen) > forgetAfter
 	})
+}
+
+// Tick does the shard's periodic work and returns the targets whose state has
+// changed.
+func (s *Shard) Tick(now time.Time) (changes []Change) {
+	if now.Sub(s.cleaned) >= cleanInterval {
+		s.clean(now)
+	}
 	for _, t := range s.targets {
 		if t.control(now, s.targetGap()) {
 			s.free(t)
 		}
+		if state := s.state(t, now); state != t.state {
+			changes = append(changes, Change{t.name, t.state, state})
+			t.state = state
+		}
+	}
+	return changes
+}
+
+// Moved returns the permits of a holder's report that another holder has.
+func (s *Shard) Moved(holder uint64, list []*api.Progress) []string {
+	var out []string
+	for _, progress := range list {
+		if p := s.permits[progress.GetPermitId()]; p != nil && p.holder != holder {
+			out = append(out, p.id)
+		}
 	}
+	return out
 }
