--- a/internal/entry/permit/book.go
+++ b/internal/entry/permit/book.go
@@ -30,6 +30,9 @@
 	Settle:  time.Second,
 }
 
+// doubtFor is longer than a session lasts after its last renewal (2.2 s).
+const doubtFor = 3 * time.Second
+
 // confirmTimeout bounds the question whether a permit is still held: a broken
 // stream waits for it before it is opened again.
 const confirmTimeout = 250 * time.Millisecond
@@ -75,9 +78,10 @@
 	book    *Book
 	started time.Time
 
-	// session is the one under which the owner knows the permit; guarded by
-	// the book.
+	// session is the one under which the owner knows the permit, and doubted
+	// when the owner first showed it under another one; guarded by the book.
 	session uint64
+	doubted time.Time
 
 	mu          sync.Mutex
 	released    bool
@@ -335,7 +339,7 @@
 		b.failed.Inc(1)
 		return
 	}
-	for _, h := range b.settle(key, request, answer) {
+	for _, h := range b.settle(key, request, answer, time.Now()) {
 		h.mu.Lock()
 		moved := h.onMoved
 		h.mu.Unlock()
@@ -346,7 +350,7 @@
 }
 
 // settle notes an owner's answer and returns the permits that have moved.
-func (b *Book) settle(key session.ShardKey, request *api.ReportRequest, answer *api.ReportResponse) []*Held {
+func (b *Book) settle(key session.ShardKey, request *api.ReportRequest, answer *api.ReportResponse, now time.Time) []*Held {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.shards[key]
@@ -357,22 +361,26 @@
 	if request.GetFirstForEpoch() != 0 {
 		s.epoch = request.GetFirstForEpoch()
 	}
-	return s.moved(request, answer.GetMovedPermits())
+	return s.moved(request, answer.GetMovedPermits(), now)
 }
 
 // moved returns the permits that another instance holds. After this instance
-// got a new session, an owner still shows its permits under the old one for a
-// while: that is no move.
-func (s *shardBook) moved(request *api.ReportRequest, ids []string) []*Held {
+// got a new session, an owner still shows its permits under the old one until
+// it has seen the old one end: for that long it is no move.
+func (s *shardBook) moved(request *api.ReportRequest, ids []string, now time.Time) []*Held {
 	var out []*Held
 	for _, p := range request.GetPermits() {
 		h := s.held[p.GetPermitId()]
 		switch {
 		case h == nil:
 		case !slices.Contains(ids, p.GetPermitId()):
-			h.session = request.GetHolderSession()
+			h.session, h.doubted = request.GetHolderSession(), time.Time{}
 		case h.session == request.GetHolderSession():
 			out = append(out, h)
+		case h.doubted.IsZero():
+			h.doubted = now
+		case now.Sub(h.doubted) > doubtFor:
+			out = append(out, h)
 		}
 	}
 	return out
--- a/internal/entry/permit/permit_test.go
+++ b/internal/entry/permit/permit_test.go
@@ -143,14 +143,20 @@
 	a, _, _ := newAcquirer(1, "home")
 	key := shard("home", 0)
 	a.book.Add(key, &api.Permit{Id: "p", Epoch: 1}, nil, time.Now())
+	now := time.Now()
 	answer := func(session uint64, ids ...string) int {
 		request := &api.ReportRequest{HolderSession: session, Permits: []*api.Progress{{PermitId: "p"}}}
-		return len(a.book.settle(key, request, &api.ReportResponse{MovedPermits: ids}))
+		return len(a.book.settle(key, request, &api.ReportResponse{MovedPermits: ids}, now))
 	}
 	assert.Equal(t, answer(1), 0)
 	assert.Equal(t, answer(2, "p"), 0) // still under session 1 at the owner
 	assert.Equal(t, answer(2), 0)      // taken up under session 2
 	assert.Equal(t, answer(2, "p"), 1)
+	// Another instance took it before the new session: the owner goes on
+	// showing it elsewhere after the old session has surely ended.
+	assert.Equal(t, answer(3, "p"), 0)
+	now = now.Add(doubtFor + 1)
+	assert.Equal(t, answer(3, "p"), 1)
 }
 
 // Guards the share of retries: over any history they stay within the
