--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -499,6 +499,8 @@
 				c.tokens(2, 6)
 				c.finish(6)
 				return
+			case <-c.r.Context().Done():
+				return
 			case <-time.After(testTiming.Silence / 3):
 				fmt.Fprint(c.w, ": heartbeat\n\n")
 				c.flush()
@@ -517,7 +519,8 @@
 		return len(events) > 0 && events[len(events)-1].Kind == "handed_over"
 	})
 	select {
-	case <-b.ended:
+	case err := <-b.ended:
+		b.ended <- err // for the cleanup
 		t.Fatal("the process ended while a stream was running")
 	default:
 	}
