--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -62,7 +62,19 @@
 
 func (s *fakeSource) SessionID() uint64 { return ownSession }
 
-func (s *fakeSource) Changed() <-chan struct{} { return s.changed }
+func (s *fakeSource) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// change wakes those who wait for a change of the view.
+func (s *fakeSource) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
 
 func (s *fakeSource) SetDraining() {}
 
@@ -329,3 +341,23 @@
 	}
 	assert.Equal(t, f.now().GetOutcome(), granted)
 }
+
+// Guards against an owner that notices a lost shard only at its next tick, and
+// against goroutines or waiters left by Stop. Mutations: run does not wait for
+// changes; Stop does not drop the shards.
+func TestStartFollowsChangesAndStopAnswers(t *testing.T) {
+	f := newFixture(t)
+	f.Start() // the fake clock never ticks
+	f.announce("e1")
+	f.fill()
+	waiting := f.acquire(time.Minute)
+	f.setView(2, 99, ownSession, holder, 99)
+	f.source.change()
+	assert.Equal(t, f.answer(waiting).GetOutcome(), notOwned)
+	f.setView(3, ownSession, ownSession, holder)
+	f.announce("e1")
+	f.fill()
+	waiting = f.acquire(time.Minute)
+	f.Stop()
+	assert.Equal(t, f.answer(waiting).GetOutcome(), notOwned)
+}
--- a/internal/scheduler/idle.go
+++ b/internal/scheduler/idle.go
@@ -1,10 +1,9 @@
 package scheduler
 
 import (
-	"maps"
-	"slices"
 	"time"
 
+	"github.com/endivetrack/endivetrack/internal/admission"
 	"github.com/endivetrack/endivetrack/internal/routing"
 )
 
@@ -34,39 +33,64 @@
 		return
 	}
 	s.idle = idleRate{since: now}
-	easiest := map[string]*waiting{} // the smallest prompt stands for its model
-	for it := range s.queue.All() {
-		c := it.Value.request.Class
-		if w := easiest[c.GetModel()]; w == nil || c.GetPromptTokens() < w.request.Class.GetPromptTokens() {
-			easiest[c.GetModel()] = it.Value
+	var requests []sampleRequest
+	for _, w := range s.easiest() {
+		requests = append(requests, sampleRequest{w, s.routingRequest(Request{Class: w.request.Class}, now), s.requestForecast(w.request.Class)})
+	}
+	for _, t := range s.targets {
+		if share, serves := s.idleShare(t, requests, now); serves {
+			s.idle.capacity++
+			s.idle.idle += share
 		}
 	}
-	counted := map[string]bool{}
-	for _, model := range slices.Sorted(maps.Keys(easiest)) {
-		s.observeModel(easiest[model], now, counted)
+}
+
+// sampleRequest stands for the waiting requests of its model and kind.
+type sampleRequest struct {
+	*waiting
+	routing  *routing.Request
+	forecast *admission.Forecast
+}
+
+// easiest returns the waiting request with the smallest prompt of each model,
+// among short classes and among the others.
+func (s *Shard) easiest() map[easiestKey]*waiting {
+	out := map[easiestKey]*waiting{}
+	for it := range s.queue.All() {
+		w := it.Value
+		key := easiestKey{w.request.Class.GetModel(), w.short}
+		if e := out[key]; e == nil || w.request.Class.GetPromptTokens() < e.request.Class.GetPromptTokens() {
+			out[key] = w
+		}
 	}
+	return out
 }
 
-// observeModel does this for the targets of one model that are not counted yet.
-func (s *Shard) observeModel(w *waiting, now time.Time, counted map[string]bool) {
-	q := s.routingRequest(Request{Class: w.request.Class}, now)
-	forecast := s.requestForecast(w.request.Class)
-	for _, t := range s.targets {
-		c := s.candidate(t, w.short, now)
-		if c == nil || counted[t.name] || !s.router.Keep(q, c) {
+type easiestKey struct {
+	model string
+	short bool
+}
+
+// idleShare returns the unused share of the target's limit if it could run one
+// of the requests, and whether it may get any of them at all. It notes whether
+// the limit keeps one from running.
+func (s *Shard) idleShare(t *target, requests []sampleRequest, now time.Time) (share float64, serves bool) {
+	for _, r := range requests {
+		c := s.candidate(t, r.short, now)
+		if c == nil || !s.router.Keep(r.routing, c) {
 			continue
 		}
-		counted[t.name] = true
-		s.idle.capacity++
+		serves = true
 		if c.InFlight >= c.Limit {
 			t.sample.Wanted = true
 			continue
 		}
 		if c.Memory > 0 {
-			c.Peak = s.peakWith(t, w.request, forecast, now)
+			c.Peak = s.peakWith(t, r.request, r.forecast, now)
 		}
-		if (routing.HasCapacity{}).Keep(q, c) {
-			s.idle.idle += 1 - float64(c.InFlight)/float64(c.Limit)
+		if (routing.HasCapacity{}).Keep(r.routing, c) {
+			share = max(share, 1-float64(c.InFlight)/float64(c.Limit))
 		}
 	}
+	return share, serves
 }
