--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -354,10 +354,18 @@
 	f.setView(2, 99, ownSession, holder, 99)
 	f.source.change()
 	assert.Equal(t, f.answer(waiting).GetOutcome(), notOwned)
+	// The first loss may have been seen by the first step, this one not.
 	f.setView(3, ownSession, ownSession, holder)
 	f.announce("e1")
 	f.fill()
 	waiting = f.acquire(time.Minute)
+	f.setView(4, 99, ownSession, holder, 99)
+	f.source.change()
+	assert.Equal(t, f.answer(waiting).GetOutcome(), notOwned)
+	f.setView(5, ownSession, ownSession, holder)
+	f.announce("e1")
+	f.fill()
+	waiting = f.acquire(time.Minute)
 	f.Stop()
 	assert.Equal(t, f.answer(waiting).GetOutcome(), notOwned)
 }
--- a/internal/scheduler/shard_test.go
+++ b/internal/scheduler/shard_test.go
@@ -122,7 +122,7 @@
 // Guards, over random calls, against: permits beyond a limit, grants to
 // targets that must not get work (P3, P7), targets that idle while work waits,
 // and counts that drift. At the end the holders go, and nothing may be left.
-// Mutations: HasCapacity ignores the limit; Alive ignores the lease; free does
+// Mutations: candidates and HasCapacity both ignore the limit; Alive ignores the lease; free does
 // not clear the retried failures; remove does not delete from the target;
 // KeepHolders or the count of missed reports removed.
 func TestShardInvariants(t *testing.T) {
@@ -265,6 +265,26 @@
 	}
 }
 
+// Guards against a target that stays free after the request that it was kept
+// for has gone. Mutation: forget keeps the memo.
+func TestReservationEndsWithItsRequest(t *testing.T) {
+	m := newModel("llm")
+	a := &api.Announcement{Incarnation: "x", MaxRunning: 16, MemoryTokens: 8000}
+	m.warm(t, 0, a)
+	long := func(prompt uint32, wait time.Duration) Ticket {
+		return m.acquire(Request{Holder: 1, Arrived: m.now, Until: m.now.Add(wait), Class: &api.RequestClass{Account: "a", Model: "m0", Class: "long", PromptTokens: prompt, MaxTokens: 50}})
+	}
+	long(10, 0)
+	assert.Equal(t, m.schedule(t, false), 1)
+	long(7900, 1500*time.Millisecond)
+	m.now = m.now.Add(1200 * time.Millisecond)
+	assert.Equal(t, m.schedule(t, false), 0)
+	long(10, time.Minute)
+	assert.Equal(t, m.schedule(t, false), 0)
+	m.now = m.now.Add(300 * time.Millisecond)
+	assert.Equal(t, m.schedule(t, false), 1)
+}
+
 // Guards against a new owner that fills targets before the holders have
 // reported. Mutations: limit ignores the take-over; inFlight ignores the
 // reported load.
