--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -96,8 +96,7 @@
 func (s *Shard) Announce(a *api.Announcement, now time.Time) {
 	t := s.target(a.GetTarget(), now)
 	last := t.announcement
-	if last == nil || !s.alive(t, now) || last.GetMaxRunning() != a.GetMaxRunning() ||
-		last.GetMemoryTokens() != a.GetMemoryTokens() || !slices.Equal(last.GetModels(), a.GetModels()) {
+	if !s.alive(t, now) || !sameCapacity(last, a) {
 		s.free(t)
 	}
 	t.announcement, t.seen = a, now
@@ -123,6 +122,10 @@
 	}
 }
 
+func sameCapacity(a, b *api.Announcement) bool {
+	return a.GetMaxRunning() == b.GetMaxRunning() && a.GetMemoryTokens() == b.GetMemoryTokens() && slices.Equal(a.GetModels(), b.GetModels())
+}
+
 func (s *Shard) target(name string, now time.Time) *target {
 	t := s.targets[name]
 	if t == nil {
