--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -38,6 +38,9 @@
 // pollInterval is how often a condition is looked at again.
 const pollInterval = 20 * time.Millisecond
 
+// ruleTimeout bounds the setting of fault rules.
+const ruleTimeout = time.Second
+
 // Start starts the program; its output is appended to its log file.
 func (p *Process) Start() error {
 	p.mu.Lock()
@@ -144,8 +147,10 @@
 	Fired int            `json:"fired"`
 }
 
-// SetRules replaces the process's fault rules.
+// SetRules replaces the process's fault rules. A frozen process fails the call.
 func (p *Process) SetRules(ctx context.Context, rules ...Rule) error {
+	ctx, cancel := context.WithTimeout(ctx, ruleTimeout)
+	defer cancel()
 	if rules == nil {
 		rules = []Rule{}
 	}
--- a/standin/faults/inject.go
+++ b/standin/faults/inject.go
@@ -31,13 +31,26 @@
 		}
 		r.hit = append(r.hit, p)
 		if err := r.inject(ctx, c, p); err != nil {
-			return err
+			if p.Running() && !r.frozen(p) {
+				return err
+			}
+			r.result.Reached = false // the first fault of a pair has hit the same process
 		}
 	}
 	sleepUntil(ctx, start.Add(healAfter))
 	return r.heal(ctx)
 }
 
+// frozen reports whether an earlier cell has frozen the process.
+func (r *run) frozen(p *cluster.Process) bool {
+	for i, h := range r.hit[:len(r.hit)-1] {
+		if h == p && r.cells[i].Fault == Freeze {
+			return true
+		}
+	}
+	return false
+}
+
 // processOf returns the process that has a role now.
 func (r *run) processOf(ctx context.Context, role Role) (*cluster.Process, error) {
 	c := r.cluster
