--- a/standin/faults/inject.go
+++ b/standin/faults/inject.go
@@ -83,7 +83,7 @@
 		return r.owner(status)
 	}
 	for _, p := range r.cluster.Controls {
-		if (p.Name == status.Leader) == (role == ControlLeader) {
+		if p.Running() && (p.Name == status.Leader) == (role == ControlLeader) {
 			return p
 		}
 	}
