--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -45,7 +45,10 @@
   shift 5
   "$bin/standin-loadgen" -profile "$root/deploy/$name/load.toml" -entries "$(addresses "$dir" entry)" -keys "$dir/keys" \
     -out "$dir/$phase.json" -seed "$seed" -duration "${span}s" -drain 25s -max-tokens "$max_tokens" -repeat-share 0 \
-    -gap "$(sed -n 's/^target_gap_ms = //p' "$dir/settings.toml")ms" -generate-rate "$(rate "$percent" "$(instances "$dir" engine | wc -l)")" -read-rate 20 -write-rate 10 "$@"
+    -gap "$(sed -n 's/^target_gap_ms = //p' "$dir/settings.toml")ms" -generate-rate "$(rate "$percent" "$(instances "$dir" engine | wc -l)")" -read-rate 20 -write-rate 10 "$@" &
+  local id=$!
+  echo "$id $dir loadgen" >>"$pids_file"
+  wait "$id"
 }
 
 # domain POLICY DIR DEPLOYMENT NAME true|false takes a failure domain out or back.
@@ -74,13 +77,11 @@
   wait_for 10 "$name: targets announced" all_targets_announced "$dir"
   # A load before the measured one fills caches and lets each policy learn.
   load "$dir" "$name" warm 4 60 -seed $((seed + 1000)) -burst-factor 1 &
-  echo "$! $dir loadgen" >>"$pids_file"
   sleep 4
   load "$dir" "$name" steady "$steady_span" 85 -burst-factor 3 -burst-period 20s -burst-length 6s
   load "$dir" "$name" over "$over_span" 130 -burst-factor 1
   load "$dir" "$name" domain "$domain_span" 60 -burst-factor 1 &
   local callers=$!
-  echo "$callers $dir loadgen" >>"$pids_file"
   sleep 2
   domain "$policy" "$dir" "$name" "$out" false
   sleep 3
