--- a/standin/faults/run.go
+++ b/standin/faults/run.go
@@ -15,12 +15,12 @@
 // Schedule of one cell, counted from the start of the load.
 const (
 	startTimeout = 20 * time.Second
-	loadTime     = 8 * time.Second
+	loadTime     = 10 * time.Second
 	drainTime    = 25 * time.Second
 	injectAfter  = 2 * time.Second
-	healAfter    = 5500 * time.Millisecond // over the 2 s lease and the 2.2 s expiry after injection
+	healAfter    = 7 * time.Second // a cut-off instance is watched for 1 s beyond P3's 3 s after "out"
 	outAfter     = 2500 * time.Millisecond
-	backAfter    = 7 * time.Second
+	backAfter    = 8500 * time.Millisecond
 	changeEvery  = 500 * time.Millisecond
 	recoverIn    = 15 * time.Second
 	spread       = time.Second // the seed moves the injection by up to this
