--- a/internal/scheduler/shard_test.go
+++ b/internal/scheduler/shard_test.go
@@ -95,7 +95,7 @@
 // checkWorkConserving fails when a waiting request fits on a target that is
 // not kept free for another one.
 func (m *model) checkWorkConserving(t assert.TestingT) {
-	p := &pass{s: m.Shard, now: m.now, loads: map[string]float64{}}
+	p := &pass{s: m.Shard, now: m.now}
 	for it := range m.queue.All() {
 		fitting, _ := p.candidates(it.Value, nil)
 		assert.Assert(t, len(fitting) == 0, "a request waits although %d targets fit", len(fitting))
@@ -122,7 +122,7 @@
 // Guards, over random calls, against: permits beyond a limit, grants to
 // targets that must not get work (P3, P7), targets that idle while work waits,
 // and counts that drift. At the end the holders go, and nothing may be left.
-// Mutations: HasCapacity ignores the limit; Alive ignores the lease; free does
+// Mutations: candidates and HasCapacity both ignore the limit; Alive ignores the lease; free does
 // not clear the retried failures; remove does not delete from the target;
 // KeepHolders or the count of missed reports removed.
 func TestShardInvariants(t *testing.T) {
@@ -265,6 +265,26 @@
 	}
 }
 
+// Guards against a target that stays free after the request that it was kept
+// for has gone. Mutation: forget keeps the memo.
+func TestReservationEndsWithItsRequest(t *testing.T) {
+	m := newModel("llm")
+	a := &api.Announcement{Incarnation: "x", MaxRunning: 16, MemoryTokens: 8000}
+	m.warm(t, 0, a)
+	long := func(prompt uint32, wait time.Duration) Ticket {
+		return m.acquire(Request{Holder: 1, Arrived: m.now, Until: m.now.Add(wait), Class: &api.RequestClass{Account: "a", Model: "m0", Class: "long", PromptTokens: prompt, MaxTokens: 50}})
+	}
+	long(10, 0)
+	assert.Equal(t, m.schedule(t, false), 1)
+	long(7900, 1500*time.Millisecond)
+	m.now = m.now.Add(1200 * time.Millisecond)
+	assert.Equal(t, m.schedule(t, false), 0)
+	long(10, time.Minute)
+	assert.Equal(t, m.schedule(t, false), 0)
+	m.now = m.now.Add(300 * time.Millisecond)
+	assert.Equal(t, m.schedule(t, false), 1)
+}
+
 // Guards against a new owner that fills targets before the holders have
 // reported. Mutations: limit ignores the take-over; inFlight ignores the
 // reported load.
@@ -282,3 +302,35 @@
 	m.announce(0, &api.Announcement{Incarnation: "x", MaxRunning: 16})
 	assert.Equal(t, m.fill(t, "short", 1), 12)
 }
+
+// Guards against a wrong account of idle capacity: a full target counts as
+// capacity while work waits, one that is kept free for a long prompt as idle.
+// Mutations: integrateIdle does nothing; observeModel counts no idle share.
+func TestIdleAccount(t *testing.T) {
+	m := newModel("llm")
+	a := &api.Announcement{Incarnation: "x", MaxRunning: 4, MemoryTokens: 8000}
+	m.warm(t, 0, a)
+	m.fill(t, "long", 100)
+	before := m.Totals()
+	m.acquire(Request{Holder: 1, Arrived: m.now, Until: m.now.Add(time.Minute), Class: &api.RequestClass{Account: "a", Model: "m0", Class: "long", PromptTokens: 7900, MaxTokens: 50}})
+	wait := func() Totals {
+		m.now = m.now.Add(memoTTL)
+		m.schedule(t, false)
+		m.now = m.now.Add(time.Second)
+		m.announce(0, a)
+		m.schedule(t, false)
+		return m.Totals()
+	}
+	after := wait()
+	assert.Assert(t, after.CapacitySeconds-before.CapacitySeconds >= 1)
+	assert.Equal(t, after.IdleSeconds, before.IdleSeconds)
+	for id, p := range m.held[1] {
+		if len(m.held[1]) > 1 {
+			m.Release(1, api.ReleaseReason_RELEASE_REASON_FINISHED, p, m.now)
+			delete(m.held[1], id)
+		}
+	}
+	wait() // keeps the target free for the long prompt
+	m.acquire(Request{Holder: 1, Arrived: m.now, Until: m.now.Add(time.Minute), Class: &api.RequestClass{Account: "b", Model: "m0", Class: "long", PromptTokens: 1, MaxTokens: 2}})
+	assert.Assert(t, wait().IdleSeconds-after.IdleSeconds > 0.3)
+}
