--- a/internal/agreement/bench_test.go
+++ b/internal/agreement/bench_test.go
@@ -80,11 +80,10 @@
 		for _, n := range w.nodes {
 			w.start(n)
 		}
-		w.run(1500 * time.Millisecond)
-		old := w.leaderSlot(nil)
-		if old == nil {
-			continue
+		for w.leaderSlot(nil) == nil || !w.allApplied(3) {
+			w.run(simStep)
 		}
+		old := w.leaderSlot(nil)
 		w.crash(old, time.Hour)
 		start := w.now
 		for done := false; !done && w.now.Sub(start) < 10*time.Second; {
