control, session: tests share their state under locks

The race detector reported the checker's list of instances and the scripted control instance's fields, both in tests; no report concerns the packages.

--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -136,12 +136,16 @@
 // while it looks, so what it finds counts only if the first fact still holds
 // after the second was read.
 type checker struct {
-	g       *group
+	g *group
+
+	mu      sync.Mutex
 	entries []*entry
 	found   string
 }
 
 func (c *checker) check() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	owners := map[session.ShardKey]*entry{}
 	for _, e := range c.entries {
 		c.checkSession(e)
@@ -201,10 +205,14 @@
 		case eventReplace:
 			old := c.entries[ev.victim]
 			fresh := c.g.startEntry(ctx, old.name, "dakar-a", old.rate)
+			c.mu.Lock()
 			c.entries = append(c.entries, fresh)
+			c.mu.Unlock()
 		}
 	}
 	time.Sleep(5 * time.Second)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.found
 }
 
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,19 +120,26 @@
 // scripted is a control instance whose sessions the test ends.
 type scripted struct {
 	api.ControlCommand
+	fresh func() bool
+
+	mu       sync.Mutex
 	sessions uint64
 	ended    map[uint64]bool
 	closed   []uint64
-	fresh    func() bool
 }
 
 func (c *scripted) OpenSession(context.Context, *api.OpenSessionRequest) (*api.OpenSessionResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.sessions++
 	return &api.OpenSessionResponse{SessionId: c.sessions}, nil
 }
 
 func (c *scripted) Renew(_ context.Context, r *api.RenewRequest) (*api.RenewResponse, error) {
-	if c.ended[r.GetSessionId()] {
+	c.mu.Lock()
+	ended := c.ended[r.GetSessionId()]
+	c.mu.Unlock()
+	if ended {
 		return nil, resultcode.ToTwirp(resultcode.Newf(resultcode.SessionUnknown, "ended"))
 	}
 	time.Sleep(time.Duration(r.GetWaitMs()) * time.Millisecond)
@@ -142,6 +150,8 @@
 	if c.fresh() {
 		return nil, errors.New("closed with a fresh lease")
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.closed = append(c.closed, r.GetSessionId())
 	return &api.CloseSessionResponse{}, nil
 }
@@ -160,13 +170,17 @@
 		time.Sleep(time.Second)
 		assert.Assert(t, s.Fresh())
 		assert.Equal(t, s.SessionID(), uint64(1))
+		c.mu.Lock()
 		c.ended[1] = true
+		c.mu.Unlock()
 		time.Sleep(time.Second)
 		assert.Equal(t, s.SessionID(), uint64(2))
 		assert.Assert(t, s.Fresh())
 		cancel()
 		time.Sleep(time.Second)
 		assert.Assert(t, !s.Fresh())
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		assert.DeepEqual(t, c.closed, []uint64{2})
 	})
 }
