--- a/standin/faults/figures.go
+++ b/standin/faults/figures.go
@@ -141,7 +141,7 @@
 func (f *figures) failover(ctx context.Context) error {
 	var times []time.Duration
 	for range failoverRepeats {
-		leader, err := f.processOf(ctx, ControlLeader)
+		leader, err := f.processOf(ctx, Cell{Role: ControlLeader})
 		if err != nil {
 			return err
 		}
@@ -167,7 +167,7 @@
 func (f *figures) handover(ctx context.Context) error {
 	var times []time.Duration
 	for i := range handoverRepeats {
-		owner, err := f.processOf(ctx, Owner)
+		owner, err := f.processOf(ctx, Cell{Role: Owner})
 		if err != nil {
 			return err
 		}
--- a/standin/faults/inject.go
+++ b/standin/faults/inject.go
@@ -1,6 +1,7 @@
 package faults
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"path/filepath"
@@ -18,18 +19,23 @@
 	slowCall    = 100 // milliseconds
 	maxSkip     = 4   // the seed lets up to this many passes of a step go by
 	stopTimeout = 40 * time.Second
-	roleTimeout = 10 * time.Second
+	// callerPlaces is how many of the places, from the first, have callers.
+	callerPlaces = 2
+	roleTimeout  = 10 * time.Second
 )
 
 // injectAndHeal lets each cell's fault happen and heals all of them later.
 func (r *run) injectAndHeal(ctx context.Context, start time.Time) error {
 	for i, c := range r.cells {
 		sleepUntil(ctx, start.Add(injectAfter+time.Duration(r.rng.Int64N(int64(spread)))*time.Duration(i+1)/2))
-		p, err := r.processOf(ctx, c.Role)
+		p, err := r.processOf(ctx, c)
 		if err != nil {
 			return err
 		}
 		r.hit = append(r.hit, p)
+		if c.Role == Entry || c.Role == Owner {
+			r.callPinned(ctx, p)
+		}
 		if err := r.inject(ctx, c, p); err != nil {
 			if p.Running() && !r.frozen(p) {
 				return err
@@ -51,16 +57,18 @@
 	return false
 }
 
-// processOf returns the process that has a role now.
-func (r *run) processOf(ctx context.Context, role Role) (*cluster.Process, error) {
-	c := r.cluster
+// processOf returns the process that has a cell's role now. Faults hit
+// processes that have work: the busiest entry instance, and targets in the
+// callers' region.
+func (r *run) processOf(ctx context.Context, cell Cell) (*cluster.Process, error) {
+	c, role := r.cluster, cell.Role
 	switch role {
 	case Entry:
-		return c.Entries[r.rng.IntN(len(c.Entries))], nil
+		return r.busiest(ctx, cmp.Or(cell.Point, "generation.before_start")), nil
 	case Engine:
-		return c.Engines[r.rng.IntN(len(c.Engines))], nil
+		return c.Engines[r.rng.IntN(callerPlaces)], nil
 	case Service:
-		return c.Services[r.rng.IntN(len(c.Services))], nil
+		return c.Services[r.rng.IntN(callerPlaces)], nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, roleTimeout)
 	defer cancel()
@@ -72,6 +80,18 @@
 	return found, err
 }
 
+// busiest returns the running entry instance that has passed a step most
+// often.
+func (r *run) busiest(ctx context.Context, point string) *cluster.Process {
+	best, most := r.cluster.Entries[0], -1
+	for _, p := range r.cluster.Entries {
+		if s, err := p.Faults(ctx); err == nil && s.Hits[point] > most {
+			best, most = p, s.Hits[point]
+		}
+	}
+	return best
+}
+
 // processNow returns the process that the control group names, or nil while
 // it is between two leaders.
 func (r *run) processNow(ctx context.Context, role Role) *cluster.Process {
--- a/standin/faults/run.go
+++ b/standin/faults/run.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/endivetrack/endivetrack/standin/cluster"
@@ -23,6 +26,7 @@
 	backAfter    = 8500 * time.Millisecond
 	changeEvery  = 500 * time.Millisecond
 	recoverIn    = 15 * time.Second
+	pinnedEvery  = 100 * time.Millisecond
 	spread       = time.Second // the seed moves the injection by up to this
 )
 
@@ -64,6 +68,7 @@
 	hit     []*cluster.Process
 	result  Result
 	windows []verify.Window
+	pinned  []context.CancelFunc
 }
 
 // Run starts a deployment, sends load, lets the cells' faults happen, heals
@@ -178,12 +183,42 @@
 	report := loadgen.Run(loadCtx, profile(), loadgen.Load{
 		Seed: r.result.Seed, Duration: loadTime, GenerateRate: 6, ReadRate: 10, WriteRate: 15, RepeatShare: 0.2,
 	}, loadgen.DefaultBounds(), callers)
+	defer func() {
+		for _, cancel := range r.pinned {
+			cancel()
+		}
+	}()
 	if err := <-faultsDone; err != nil {
 		return report, fmt.Errorf("faults: %w", err)
 	}
 	return report, <-operatorDone
 }
 
+// callPinned sends short generations straight to one instance until the faults
+// are healed, as a caller does that keeps an old answer. What they do at the
+// engines counts; their answers do not.
+func (r *run) callPinned(ctx context.Context, p *cluster.Process) {
+	ctx, cancel := context.WithTimeout(ctx, loadTime)
+	r.pinned = append(r.pinned, cancel)
+	client := &http.Client{Timeout: time.Second}
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":2,"messages":[{"role":"user","content":"[class=short] pinned"}]}`, cluster.Model)
+	go func() {
+		defer client.CloseIdleConnections()
+		for ctx.Err() == nil {
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Address+"/v1/chat/completions", strings.NewReader(body))
+			if err != nil {
+				return
+			}
+			req.Header.Set("Authorization", "Bearer "+r.cluster.AccountKeys[0])
+			if resp, err := client.Do(req); err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+			sleepUntil(ctx, time.Now().Add(pinnedEvery))
+		}
+	}()
+}
+
 // operate takes a failure domain out and back and makes further changes in
 // between. Each change is sent again with the same id until it is accepted.
 func (r *run) operate(ctx context.Context, start time.Time) error {
