entry: a generation is unknown only when the owners of all regions say so

Cause: after an entry instance was killed, its shard had no owner for a moment, and the other region's owner, which does not know the generation, decided alone: callers got 1009 and gave up generations that went on running. The new test fails without the change (1009) and passes with it (2007, retried).

--- a/internal/entry/command/resume.go
+++ b/internal/entry/command/resume.go
@@ -82,7 +82,9 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	view := s.Source.View()
-	reached := false
+	// A generation is unknown only when the owners of all regions say so: the
+	// one that cannot be reached may be the one that granted its permit.
+	allReached := true
 	var address string
 	for _, region := range s.regions(who) {
 		key := session.ShardKey{
@@ -91,13 +93,14 @@
 		}
 		owner, ok := s.Owners.Of(view, key)
 		if !ok {
+			allReached = false
 			continue
 		}
 		held, found, ok := s.transfer(ctx, owner, key, place)
 		if held != nil {
 			return held, held.Permit.GetAddress(), nil
 		}
-		reached = reached || ok
+		allReached = allReached && ok
 		if address == "" {
 			address = found
 		}
@@ -105,7 +108,7 @@
 	if address != "" {
 		return nil, address, nil
 	}
-	if known, ok := s.targets.find(who.TeamName, place.Service, place.Target); ok && !reached {
+	if known, ok := s.targets.find(who.TeamName, place.Service, place.Target); ok && !allReached {
 		// The shard has no owner now. The next one learns from this instance's
 		// report that the generation runs, and who holds it.
 		p := &api.Permit{
@@ -115,7 +118,7 @@
 		return s.Book.Add(known.key, p, nil, time.Now()), p.GetAddress(), nil
 	}
 	switch {
-	case !reached:
+	case !allReached:
 		return nil, "", resultcode.Newf(resultcode.NoOwner, "no owner of the generation's shard can be reached").WithRetryAfter(time.Second)
 	default:
 		return nil, "", unknownGeneration(id, 0)
--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -349,6 +349,21 @@
 	tokensOf(t, (<-got).body, 2, 6)
 }
 
+// Guards against giving up a generation that still runs: the demo with an entry
+// instance killed (seed 3) lost three, because the home shard had no owner and
+// the other region's owner, which did not know them, decided. Caught mutation:
+// unknown as soon as one owner was reached.
+func TestResumeWhileOneRegionHasNoOwner(t *testing.T) {
+	b := newBed(t)
+	b.source.update(func(v *session.View) {
+		key := session.ShardKey{Team: "farm", Service: "llm", Region: "away"}
+		v.Assignments = map[session.ShardKey]*api.Assignment{key: {OwnerSession: 1, Epoch: 8, Shard: key.Proto()}}
+	})
+	got := b.call("GET", "/v1/generations/g1.llm.llm-1.p1~5-00ff?offset=2", callerKey, "")
+	code, _ := got.code(t)
+	assert.Equal(t, code, 2007, got.body)
+}
+
 // Guards against two connections of one caller that displace each other: the
 // newer one takes the generation over within the instance.
 func TestResumeAtTheSameInstance(t *testing.T) {
