--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -92,7 +92,7 @@
 const (
 	memoryWeight      = 1.0
 	concurrencyWeight = 1.0
-	prefixWeight      = 0.5
+	prefixWeight      = 0.1
 	domainWeight      = 0.2
 )
 
