--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,10 +82,11 @@
 	// Weight is the account's share of a contended service. Default 1.
 	Weight int `toml:"weight"`
 	// RatePerSecond and Burst bound requests. Defaults 100 and 200. The rate
-	// holds over all entry instances together.
+	// holds over all entry instances together; each enforces an equal share.
 	RatePerSecond float64 `toml:"rate_per_second"`
 	Burst         int     `toml:"burst"`
-	// MaxInFlight bounds concurrent requests over all entry instances. Default 256.
+	// MaxInFlight bounds concurrent requests over all entry instances; each
+	// enforces an equal share. Default 256.
 	MaxInFlight int `toml:"max_in_flight"`
 	// DefaultClass is used when a request names no class.
 	DefaultClass string `toml:"default_class"`
