--- a/cmd/endivetrack-control/run.go
+++ b/cmd/endivetrack-control/run.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
-	"github.com/google/subcommands"
 	"github.com/gravitational/trace"
 
 	"github.com/endivetrack/endivetrack/internal/agreement"
@@ -24,33 +22,6 @@
 // polls end by themselves within 0.5 s.
 const stopTimeout = 3 * time.Second
 
-type runCommand struct {
-	config string
-}
-
-func (*runCommand) Name() string     { return "run" }
-func (*runCommand) Synopsis() string { return "run a control instance" }
-func (*runCommand) Usage() string    { return "run -config FILE\n" }
-
-// SetFlags defines the command's flags.
-func (c *runCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.config, "config", "control.toml", "configuration file")
-}
-
-// Execute runs until SIGTERM.
-func (c *runCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	cfg, err := loadConfig(c.config)
-	if err != nil {
-		return fail(err)
-	}
-	ctx, cancel := process.SignalContext()
-	defer cancel()
-	if err := run(ctx, cfg); err != nil {
-		return fail(err)
-	}
-	return subcommands.ExitSuccess
-}
-
 // run starts the instance's parts. The listener comes first, so that a port
 // that is taken is found before the data folder is touched.
 func run(ctx context.Context, cfg *config) error {
--- a/cmd/endivetrack-entry/run.go
+++ b/cmd/endivetrack-entry/run.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"flag"
 	"net"
 	"os"
 	"sync"
 
-	"github.com/google/subcommands"
 	"github.com/gravitational/trace"
 
 	"github.com/endivetrack/endivetrack/api"
@@ -21,33 +19,6 @@
 	"github.com/endivetrack/endivetrack/internal/stream"
 )
 
-type runCommand struct {
-	config string
-}
-
-func (*runCommand) Name() string     { return "run" }
-func (*runCommand) Synopsis() string { return "run an entry instance" }
-func (*runCommand) Usage() string    { return "run -config FILE\n" }
-
-// SetFlags defines the command's flags.
-func (c *runCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.config, "config", "entry.toml", "configuration file")
-}
-
-// Execute runs until SIGTERM and then stops as planned.
-func (c *runCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	cfg, err := loadConfig(c.config)
-	if err != nil {
-		return fail(err)
-	}
-	ctx, cancel := process.SignalContext()
-	defer cancel()
-	if err := run(ctx, cfg); err != nil {
-		return fail(err)
-	}
-	return subcommands.ExitSuccess
-}
-
 // run serves until ctx ends. The session outlives the planned stop, which hands
 // the shards over, and is closed last.
 func run(ctx context.Context, cfg *config) error {
--- /dev/null
+++ b/internal/process/program.go
@@ -0,0 +1,116 @@
+package process
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// Program is the command line of an instance: run, check-config and version.
+type Program[C any] struct {
+	Name     string // of the binary
+	Synopsis string // of run
+	// ConfigFile is the default of run's -config.
+	ConfigFile string
+	// Load reads and checks a configuration file.
+	Load func(file string) (C, error)
+	// Run serves until ctx ends and then stops as planned.
+	Run func(ctx context.Context, config C) error
+}
+
+// Main parses the command line, executes the command and ends the process with
+// its status.
+func (p *Program[C]) Main() {
+	subcommands.Register(subcommands.HelpCommand(), "help")
+	subcommands.Register(subcommands.FlagsCommand(), "help")
+	subcommands.Register(&runCommand[C]{program: p}, "")
+	subcommands.Register(&checkConfigCommand[C]{program: p}, "")
+	subcommands.Register(&versionCommand{name: p.Name}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+type runCommand[C any] struct {
+	program *Program[C]
+	config  string
+}
+
+func (*runCommand[C]) Name() string       { return "run" }
+func (c *runCommand[C]) Synopsis() string { return c.program.Synopsis }
+func (*runCommand[C]) Usage() string      { return "run -config FILE\n" }
+
+// SetFlags defines the command's flags.
+func (c *runCommand[C]) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", c.program.ConfigFile, "configuration file")
+}
+
+// Execute runs until SIGTERM.
+func (c *runCommand[C]) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	config, err := c.program.Load(c.config)
+	if err != nil {
+		return fail(err)
+	}
+	ctx, cancel := SignalContext()
+	defer cancel()
+	if err := c.program.Run(ctx, config); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+type checkConfigCommand[C any] struct {
+	program *Program[C]
+}
+
+func (*checkConfigCommand[C]) Name() string           { return "check-config" }
+func (*checkConfigCommand[C]) Synopsis() string       { return "check a configuration file without starting" }
+func (*checkConfigCommand[C]) Usage() string          { return "check-config FILE\n" }
+func (*checkConfigCommand[C]) SetFlags(*flag.FlagSet) {}
+
+// Execute checks the file.
+func (c *checkConfigCommand[C]) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	if _, err := c.program.Load(f.Arg(0)); err != nil {
+		return fail(err)
+	}
+	fmt.Printf("%s: ok\n", f.Arg(0))
+	return subcommands.ExitSuccess
+}
+
+type versionCommand struct {
+	name string
+}
+
+func (*versionCommand) Name() string           { return "version" }
+func (*versionCommand) Synopsis() string       { return "print the version of the build" }
+func (*versionCommand) Usage() string          { return "version\n" }
+func (*versionCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute prints the build's revision.
+func (c *versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	revision := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = s.Value
+			}
+		}
+	}
+	fmt.Println(c.name, revision)
+	return subcommands.ExitSuccess
+}
+
+// fail prints the error; a coded one starts with its number.
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, resultcode.From(err).Error())
+	return subcommands.ExitFailure
+}
