--- a/cmd/endivetrack-control/config.go
+++ b/cmd/endivetrack-control/config.go
@@ -3,12 +3,9 @@
 import (
 	"slices"
 
-	"github.com/gravitational/trace"
-
 	"github.com/endivetrack/endivetrack/internal/agreement"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/process"
-	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
 // maxVoters bounds the first members of the group.
@@ -54,11 +51,11 @@
 	}
 	for _, o := range c.Operators {
 		if o.Team == "" {
-			return nil, invalid(file, "operators.team", o.Team, "must be present")
+			return nil, process.Invalid(file, "operators.team", o.Team, "must be present")
 		}
 		for _, d := range o.KeySHA256 {
 			if !peerauth.ValidDigest(d) {
-				return nil, invalid(file, "operators.key_sha256", d, "must be a lower-case hex SHA-256 digest")
+				return nil, process.Invalid(file, "operators.key_sha256", d, "must be a lower-case hex SHA-256 digest")
 			}
 		}
 	}
@@ -85,21 +82,17 @@
 
 func (c *config) checkMembers(file string) error {
 	if n := len(c.Bootstrap); n > maxVoters {
-		return invalid(file, "bootstrap", "", "at most 7 voters")
+		return process.Invalid(file, "bootstrap", "", "at most 7 voters")
 	}
 	var names []string
 	for _, m := range c.Bootstrap {
 		if m.Name == "" || slices.Contains(names, m.Name) {
-			return invalid(file, "bootstrap.name", m.Name, "must be present and unique")
+			return process.Invalid(file, "bootstrap.name", m.Name, "must be present and unique")
 		}
 		if err := process.CheckAddress(m.Address); err != nil {
-			return invalid(file, "bootstrap.address", m.Address, err.Error())
+			return process.Invalid(file, "bootstrap.address", m.Address, err.Error())
 		}
 		names = append(names, m.Name)
 	}
 	return nil
 }
-
-func invalid(file, key, value, rule string) error {
-	return trace.Wrap(resultcode.Newf(resultcode.SettingsInvalid, "%s: key %q: value %q: %s", file, key, value, rule))
-}
--- a/cmd/endivetrack-entry/config.go
+++ b/cmd/endivetrack-entry/config.go
@@ -2,14 +2,10 @@
 
 import (
 	"cmp"
-	"fmt"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"github.com/endivetrack/endivetrack/internal/entry"
 	"github.com/endivetrack/endivetrack/internal/process"
-	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
 // Defaults and bounds of the configuration.
@@ -51,11 +47,11 @@
 
 func (c *config) check(file string) error {
 	if len(c.ControlAddresses) == 0 {
-		return invalid(file, "control_addresses", "[]", "needs at least one address")
+		return process.Invalid(file, "control_addresses", "[]", "needs at least one address")
 	}
 	for _, a := range c.ControlAddresses {
 		if err := process.CheckAddress(a); err != nil {
-			return invalid(file, "control_addresses", a, err.Error())
+			return process.Invalid(file, "control_addresses", a, err.Error())
 		}
 	}
 	for _, v := range []struct {
@@ -67,14 +63,10 @@
 		{"limits.drain_timeout_ms", c.Limits.DrainTimeoutMS, maxDrainTimeoutMS},
 	} {
 		if v.value < 1 || v.value > v.top {
-			return invalid(file, v.key, v.value, "must be positive and within its bound")
+			return process.Invalid(file, v.key, v.value, "must be positive and within its bound")
 		}
 	}
 	return nil
 }
 
 func (c *config) addressTTL() time.Duration { return time.Duration(c.AddressTTLMS) * time.Millisecond }
-
-func invalid(file, key string, value any, rule string) error {
-	return trace.Wrap(resultcode.Newf(resultcode.SettingsInvalid, "%s: key %q: value %q: %s", file, key, fmt.Sprint(value), rule))
-}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -54,16 +54,16 @@
 		return nil, err
 	}
 	if len(c.ControlAddresses) == 0 {
-		return nil, trace.Wrap(resultcode.Newf(resultcode.SettingsInvalid, "%s: key %q: needs at least one address", file, "control_addresses"))
+		return nil, process.Invalid(file, "control_addresses", "", "needs at least one address")
 	}
 	for _, a := range c.ControlAddresses {
 		if err := process.CheckAddress(a); err != nil {
-			return nil, trace.Wrap(resultcode.Newf(resultcode.SettingsInvalid, "%s: key %q: value %q: %v", file, "control_addresses", a, err))
+			return nil, process.Invalid(file, "control_addresses", a, err.Error())
 		}
 	}
 	key, err := os.ReadFile(c.OperatorKeyFile)
 	if err != nil {
-		return nil, trace.Wrap(resultcode.Newf(resultcode.SettingsInvalid, "%s: key %q: value %q: %v", file, "operator_key_file", c.OperatorKeyFile, err))
+		return nil, process.Invalid(file, "operator_key_file", c.OperatorKeyFile, err.Error())
 	}
 	clock := timeline.NewClock(time.Now)
 	recorder, err := timeline.NewRecorder(clock, sourceName, c.EventsDir)
--- a/internal/process/config.go
+++ b/internal/process/config.go
@@ -54,7 +54,7 @@
 func (c *Config) Check(file string) error {
 	for key, v := range map[string]string{"name": c.Name, "region": c.Region, "failure_domain": c.FailureDomain} {
 		if v == "" || strings.ContainsAny(v, "/ \t\n") {
-			return invalid(file, key, v, "must be a non-empty word")
+			return Invalid(file, key, v, "must be a non-empty word")
 		}
 	}
 	if c.Advertise == "" {
@@ -62,16 +62,16 @@
 	}
 	for key, v := range map[string]string{"listen": c.Listen, "advertise": c.Advertise} {
 		if err := CheckAddress(v); err != nil {
-			return invalid(file, key, v, err.Error())
+			return Invalid(file, key, v, err.Error())
 		}
 	}
 	key, err := os.ReadFile(c.PeerKeyFile)
 	if err != nil {
-		return invalid(file, "peer_key_file", c.PeerKeyFile, err.Error())
+		return Invalid(file, "peer_key_file", c.PeerKeyFile, err.Error())
 	}
 	c.PeerKey = strings.TrimSpace(string(key))
 	if len(c.PeerKey) < peerauth.MinKeyBytes {
-		return invalid(file, "peer_key_file", c.PeerKeyFile, fmt.Sprintf("the key needs at least %d characters", peerauth.MinKeyBytes))
+		return Invalid(file, "peer_key_file", c.PeerKeyFile, fmt.Sprintf("the key needs at least %d characters", peerauth.MinKeyBytes))
 	}
 	return nil
 }
@@ -89,6 +89,8 @@
 	return nil
 }
 
-func invalid(file, key, value, rule string) error {
-	return trace.Wrap(resultcode.Newf(resultcode.SettingsInvalid, "%s: key %q: value %q: %s", file, key, value, rule))
+// Invalid returns the error for a value of a configuration file that breaks a
+// rule.
+func Invalid(file, key string, value any, rule string) error {
+	return trace.Wrap(resultcode.Newf(resultcode.SettingsInvalid, "%s: key %q: value %q: %s", file, key, fmt.Sprint(value), rule))
 }
