--- a/internal/entry/command/announce.go
+++ b/internal/entry/command/announce.go
@@ -75,9 +75,9 @@
 	if err != nil {
 		return s.refuseAnnouncement(resultcode.Newf(resultcode.AnnouncementMalformed, "%v", err))
 	}
-	var body announcementBody
-	if err := json.Unmarshal(text, &body); err != nil {
-		return s.refuseAnnouncement(resultcode.Newf(resultcode.AnnouncementMalformed, "the announcement does not decode: %v", err))
+	body, err := decodeAnnouncement(text)
+	if err != nil {
+		return s.refuseAnnouncement(err)
 	}
 	view := s.Source.View()
 	team, service, err := access.TargetService(view, body.Team, body.Service, r.Header)
@@ -103,6 +103,15 @@
 	return nil
 }
 
+// decodeAnnouncement reads the JSON form; check validates its content.
+func decodeAnnouncement(text []byte) (*announcementBody, error) {
+	var body announcementBody
+	if err := json.Unmarshal(text, &body); err != nil {
+		return nil, malformed("the announcement does not decode: %v", err)
+	}
+	return &body, nil
+}
+
 func (s *Service) refuseAnnouncement(err error) error {
 	s.counts.announcedRefused.Inc(1)
 	return err
--- a/internal/process/config.go
+++ b/internal/process/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -83,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	if net.ParseIP(host) == nil || port == "" {
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil || net.ParseIP(host) == nil {
 		return fmt.Errorf("must be IP:port")
 	}
 	return nil
