entry: check the lease right before one write; a view must not change under the check

The trace shows the process frozen between the check of the lease and the first byte: the session was found lost only after the request had been sent. Before: dialling came first, but the request was serialized after the check. Now one write system call is left between them.

--- a/internal/entry/command/service.go
+++ b/internal/entry/command/service.go
@@ -152,10 +152,31 @@
 }
 
 // mayDispatch is the check right before a dispatch: the newest settings still
-// let the account call the service and new work go to the target, and the freshness lease makes sure that they are
-// the newest ones. The lease is read last.
+// let the account call the service and new work go to the target, and the
+// freshness lease makes sure that they are the newest ones.
+//
+// The lease is read after the view, as late as possible, and the view must not
+// have changed by then: a process that wakes from a freeze may read the old
+// view, be renewed, and then find the new lease valid.
 func (s *Service) mayDispatch(id *access.Identity, service string, p *api.Permit) error {
-	team, ok := s.Source.View().Teams[id.TeamName]
+	for {
+		view := s.Source.View()
+		if err := s.mayDispatchUnder(view, id, service, p); err != nil {
+			return err
+		}
+		if !s.Source.Fresh() {
+			s.counts.refusedStale.Inc(1)
+			return permit.NotFresh()
+		}
+		if s.Source.View() == view {
+			return nil
+		}
+	}
+}
+
+// mayDispatchUnder checks a dispatch against one view of the settings.
+func (s *Service) mayDispatchUnder(view *session.View, id *access.Identity, service string, p *api.Permit) error {
+	team, ok := view.Teams[id.TeamName]
 	if !ok || !stillMayCall(team.Settings, id, service) {
 		return resultcode.Newf(resultcode.Forbidden, "account %q may not call service %q any more", id.AccountName, service)
 	}
@@ -164,10 +185,6 @@
 		s.counts.refusedDomain.Inc(1)
 		return resultcode.Newf(resultcode.NoTarget, "target %q may not get new work", p.GetTarget()).WithRetryAfter(retryFull)
 	}
-	if !s.Source.Fresh() {
-		s.counts.refusedStale.Inc(1)
-		return permit.NotFresh()
-	}
 	return nil
 }
 
--- a/internal/entry/target/engine.go
+++ b/internal/entry/target/engine.go
@@ -161,14 +161,23 @@
 	if err != nil {
 		return nil, err
 	}
-	if hooks.Before != nil {
-		if err := hooks.Before(); err != nil {
-			_ = raw.Close()
-			return nil, &NotSentError{err}
-		}
+	text, err := wireForm(r)
+	if err == nil {
+		err = raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	}
+	if err == nil && hooks.Before != nil {
+		err = hooks.Before()
+	}
+	if err != nil {
+		_ = raw.Close()
+		return nil, &NotSentError{err}
 	}
+	_, err = raw.Write(text)
 	c := newConn(ctx, raw, e.Tick, hooks.Idle)
-	answer, err := exchange(c, r)
+	var answer *http.Response
+	if err == nil {
+		answer, err = readResponse(c, r)
+	}
 	if err != nil {
 		_ = c.Close()
 		return nil, err
@@ -184,14 +193,13 @@
 	return &Stream{Reader: stream.NewReader(answer.Body), conn: c}, nil
 }
 
-func exchange(c net.Conn, r *http.Request) (*http.Response, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return nil, err
-	}
-	if err := r.Write(c); err != nil {
-		return nil, err
-	}
-	return readResponse(c, r)
+// wireForm returns the bytes of a request, so that nothing but one write stands
+// between the last check of the lease and the first byte sent: a process frozen
+// in between would send on settings that have changed meanwhile.
+func wireForm(r *http.Request) ([]byte, error) {
+	var text bytes.Buffer
+	err := r.Write(&text)
+	return text.Bytes(), err
 }
 
 // readResponse reads the header of the final answer, in bounded memory.
--- a/internal/entry/target/plain.go
+++ b/internal/entry/target/plain.go
@@ -68,13 +68,17 @@
 			return nil, &NotSentError{err}
 		}
 	}
-	if err := before(); err != nil {
-		return nil, &NotSentError{err}
+	text, err := wireForm(r)
+	if err == nil {
+		err = before()
+	}
+	if err == nil && ctx.Err() != nil {
+		err = context.Cause(ctx)
 	}
-	if ctx.Err() != nil {
-		return nil, &NotSentError{context.Cause(ctx)}
+	if err != nil {
+		return nil, &NotSentError{err}
 	}
-	if err := r.Write(c); err != nil {
+	if _, err := c.Write(text); err != nil {
 		return nil, fmt.Errorf("send to target: %w", err)
 	}
 	return q.read(c, r)
