Use one name rule, one list of addresses and one list of instances

The announcement check repeated the settings' pattern for names; the measurements and the fault matrix each had their own list of addresses. Terminate of the loopback deployment had no caller left.

--- a/bench/slopes/owner.go
+++ b/bench/slopes/owner.go
@@ -72,7 +72,7 @@
 		return OwnerCost{}, err
 	}
 	// The holder is in another region, so that the measured shard never moves to it.
-	nodes := startNodes(ctx, cluster.Places[2:], 1, addresses(c.Controls), string(peerKey[:len(peerKey)-1]))
+	nodes := startNodes(ctx, cluster.Places[2:], 1, cluster.Addresses(c.Controls), string(peerKey[:len(peerKey)-1]))
 	defer nodes.stop()
 	holder := nodes.sessions[0]
 	shard := session.ShardKey{Team: cluster.Team, Service: cluster.EngineService, Region: cluster.Places[0].Region}
@@ -97,7 +97,7 @@
 			FailureDomain: cluster.Places[i%2].FailureDomain, Models: []string{cluster.Model},
 			MaxRunning: ownerTargetRunning, MemoryTokens: ownerTargetMemory, ReportedRunning: ownerTargetRunning,
 		}
-		a := announce.New(addresses(c.Entries[:2]), string(key[:len(key)-1]), func() announce.Message { return m })
+		a := announce.New(cluster.Addresses(c.Entries[:2]), string(key[:len(key)-1]), func() announce.Message { return m })
 		go a.Run(ctx, nil)
 	}
 	return nil
--- a/bench/slopes/sessions.go
+++ b/bench/slopes/sessions.go
@@ -120,7 +120,7 @@
 		return Cost{}, err
 	}
 	heapBefore := heapBytes()
-	nodes := startNodes(ctx, cluster.Places, size.Sessions, addresses(c.Controls), string(key[:len(key)-1]))
+	nodes := startNodes(ctx, cluster.Places, size.Sessions, cluster.Addresses(c.Controls), string(key[:len(key)-1]))
 	defer nodes.stop()
 	if err := cluster.WaitUntil(startCtx, "fresh sessions", func() bool { return nodes.allFresh(1) }); err != nil {
 		return Cost{}, err
@@ -133,14 +133,6 @@
 	return cost, cost.sampleChanges(ctx, c, nodes)
 }
 
-func addresses(ps []*cluster.Process) []string {
-	var out []string
-	for _, p := range ps {
-		out = append(out, p.Address)
-	}
-	return out
-}
-
 func heapBytes() int64 {
 	runtime.GC()
 	var m runtime.MemStats
--- a/internal/entry/command/announce.go
+++ b/internal/entry/command/announce.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"regexp"
 	"slices"
 	"strconv"
 	"sync"
@@ -34,8 +33,6 @@
 	passOnWorkers = 16
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
-
 // announcementBody is the JSON form of an announcement.
 type announcementBody struct {
 	Team             string           `json:"team"`
@@ -135,7 +132,7 @@
 
 // check validates the announcement and returns its message form.
 func (b *announcementBody) check(team *settings.Team, service settings.Service, region string) (*api.Announcement, error) {
-	if !namePattern.MatchString(b.Target) {
+	if !settings.ValidName(b.Target) {
 		return nil, malformed("target %q is not a name", b.Target)
 	}
 	if b.Incarnation == "" || len(b.Incarnation) > 128 {
--- a/internal/entry/command/announce_fuzz_test.go
+++ b/internal/entry/command/announce_fuzz_test.go
@@ -32,6 +32,6 @@
 		}
 		assert.Equal(t, body.FailureDomain, "dakar-a")
 		assert.NilError(t, process.CheckAddress(body.Address))
-		assert.Assert(t, namePattern.MatchString(body.Target))
+		assert.Assert(t, settings.ValidName(body.Target))
 	})
 }
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -27,8 +27,12 @@
 	maxTokensLimit    = 1 << 20
 )
 
+// namePattern is the form of all names: teams, services, accounts, targets.
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
+// ValidName reports whether s has the form of a name.
+func ValidName(s string) bool { return namePattern.MatchString(s) }
+
 // Parse decodes and checks a subtree. file names the source in errors, which
 // give the file, the key and the offending value, and carry a result code.
 func Parse(file string, text []byte) (*Team, error) {
@@ -120,7 +124,7 @@
 		return c.fail(prefix, len(names), fmt.Sprintf("at most %d entries", most))
 	}
 	for _, n := range names {
-		if !namePattern.MatchString(n) {
+		if !ValidName(n) {
 			return c.fail(prefix, n, "must match "+namePattern.String())
 		}
 	}
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -122,7 +123,7 @@
 func (c *Cluster) target(program, service, name string, p Place, address string) *Process {
 	args := []string{
 		"-team", Team, "-service", service, "-target", name, "-region", p.Region, "-failure-domain", p.FailureDomain,
-		"-listen", address, "-entries", strings.Join(addressesOf(c.entriesIn(p.Region)), ","),
+		"-listen", address, "-entries", strings.Join(Addresses(c.entriesIn(p.Region)), ","),
 		"-key-file", c.path("target.key"), "-journal", c.path(name + ".journal"),
 	}
 	if service == EngineService {
@@ -141,7 +142,8 @@
 	return out
 }
 
-func addressesOf(ps []*Process) []string {
+// Addresses returns the processes' addresses, in order.
+func Addresses(ps []*Process) []string {
 	out := make([]string, 0, len(ps))
 	for _, p := range ps {
 		out = append(out, p.Address)
@@ -167,12 +169,12 @@
 		}
 	}
 	for i, p := range c.Entries {
-		text := c.common(p, placeOf(i)) + fmt.Sprintf("control_addresses = %s\naddress_ttl_ms = 1000\n", quoteAll(addressesOf(c.Controls)))
+		text := c.common(p, placeOf(i)) + fmt.Sprintf("control_addresses = %s\naddress_ttl_ms = 1000\n", quoteAll(Addresses(c.Controls)))
 		if err := c.write(p.Name+".toml", text); err != nil {
 			return err
 		}
 	}
-	return c.write("endivectl.toml", fmt.Sprintf("control_addresses = %s\noperator_key_file = %q\n", quoteAll(addressesOf(c.Controls)), c.path("operator.key")))
+	return c.write("endivectl.toml", fmt.Sprintf("control_addresses = %s\noperator_key_file = %q\n", quoteAll(Addresses(c.Controls)), c.path("operator.key")))
 }
 
 func (c *Cluster) common(p *Process, place Place) string {
@@ -209,13 +211,14 @@
 	return b.String()
 }
 
+// Instances returns the system's own processes: control and entry instances.
+func (c *Cluster) Instances() []*Process {
+	return slices.Concat(c.Controls, c.Entries)
+}
+
 // All returns every process.
 func (c *Cluster) All() []*Process {
-	var out []*Process
-	for _, ps := range [][]*Process{c.Controls, c.Entries, c.Engines, c.Services} {
-		out = append(out, ps...)
-	}
-	return out
+	return slices.Concat(c.Controls, c.Entries, c.Engines, c.Services)
 }
 
 // Start starts every process, applies the settings and waits until each
--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -85,12 +85,6 @@
 	<-p.Done()
 }
 
-// Terminate asks for a planned stop and waits for its end.
-func (p *Process) Terminate(timeout time.Duration) error {
-	p.Signal(syscall.SIGTERM)
-	return p.WaitEnd(timeout)
-}
-
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} {
 	p.mu.Lock()
--- a/standin/faults/check.go
+++ b/standin/faults/check.go
@@ -132,7 +132,7 @@
 }
 
 func (r *run) checkInvariants(ctx context.Context) {
-	for _, p := range append(append([]*cluster.Process{}, r.cluster.Controls...), r.cluster.Entries...) {
+	for _, p := range r.cluster.Instances() {
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		var m struct {
 			Counters map[string]int64 `json:"counters"`
--- a/standin/faults/figures.go
+++ b/standin/faults/figures.go
@@ -82,7 +82,7 @@
 	const domain = 1
 	var times []time.Duration
 	for i := range outRepeats {
-		caller := loadgen.NewDirect(addresses(f.cluster.Entries), "dakar", "", f.cluster.AccountKeys[0])
+		caller := loadgen.NewDirect(cluster.Addresses(f.cluster.Entries), "dakar", "", f.cluster.AccountKeys[0])
 		loadCtx, stop := context.WithTimeout(ctx, outLasts+20*time.Second)
 		done := make(chan loadgen.Report, 1)
 		go func() {
@@ -110,14 +110,6 @@
 	return nil
 }
 
-func addresses(ps []*cluster.Process) []string {
-	var out []string
-	for _, p := range ps {
-		out = append(out, p.Address)
-	}
-	return out
-}
-
 func (f *figures) lastWorkIn(ctx context.Context, domain string) int64 {
 	var last int64
 	for _, e := range f.engineRecords(ctx) {
@@ -173,7 +165,7 @@
 		}
 		owner.Kill()
 		start := time.Now()
-		caller := loadgen.NewDirect(addresses(f.cluster.Entries), "dakar", "", f.cluster.AccountKeys[0])
+		caller := loadgen.NewDirect(cluster.Addresses(f.cluster.Entries), "dakar", "", f.cluster.AccountKeys[0])
 		err = cluster.WaitUntil(ctx, "a generation after the owner's death", func() bool {
 			return serves(ctx, caller, fmt.Sprintf("handover-%d-%d", i, time.Now().UnixNano()))
 		})
--- a/standin/faults/inject.go
+++ b/standin/faults/inject.go
@@ -162,7 +162,7 @@
 }
 
 func (r *run) cutBoth(ctx context.Context, p *cluster.Process) error {
-	for _, other := range append(append([]*cluster.Process{}, r.cluster.Controls...), r.cluster.Entries...) {
+	for _, other := range r.cluster.Instances() {
 		prefix := peerSend + p.Address
 		if other == p {
 			prefix = peerSend
@@ -245,7 +245,7 @@
 }
 
 func (r *run) clearRules(ctx context.Context) error {
-	for _, p := range append(append([]*cluster.Process{}, r.cluster.Controls...), r.cluster.Entries...) {
+	for _, p := range r.cluster.Instances() {
 		err := cluster.WaitUntil(ctx, "faults of "+p.Name+" to clear", func() bool { return !p.Running() || p.SetRules(ctx) == nil })
 		if err != nil {
 			return err
--- a/standin/faults/run.go
+++ b/standin/faults/run.go
@@ -166,11 +166,7 @@
 	var callers []loadgen.Caller
 	for i, key := range r.cluster.AccountKeys {
 		place := cluster.Places[i%len(cluster.Places)]
-		var seeds []string
-		for _, e := range r.cluster.Entries {
-			seeds = append(seeds, e.Address)
-		}
-		caller := loadgen.NewDirect(seeds, place.Region, place.FailureDomain, key)
+		caller := loadgen.NewDirect(cluster.Addresses(r.cluster.Entries), place.Region, place.FailureDomain, key)
 		defer caller.Close()
 		callers = append(callers, caller)
 	}
