Run on the users' platform: manifest, shared fleet state, transparent forwarding, adapter

Cause: the product spoke only its own caller interface. Change: internal/manifest (whole manifests), internal/fleet (replicated manifest and failure domains, announcements as soft state, watched by every instance), internal/forward (plain HTTP through, streams moved off targets that leave), internal/instance (processes), platform/ (names of the wire), two thin programs. The agreement group can grow from seeds and mend itself (PromoteLearners).

--- a/internal/agreement/change.go
+++ b/internal/agreement/change.go
@@ -147,6 +147,9 @@
 		_, _ = c.promote(x.Incarnation)
 		return
 	}
+	if c.cfg.PromoteLearners {
+		c.growMembers()
+	}
 }
 
 // lostIncarnation returns the voter that x replaces.
--- a/internal/agreement/config.go
+++ b/internal/agreement/config.go
@@ -82,6 +82,11 @@
 	// ReplaceAfter is how long a voter must be silent before a learner of the
 	// same name with a disk takes its place. Default 5 s; negative: never.
 	ReplaceAfter time.Duration
+	// PromoteLearners makes the leader promote every learner with a disk that
+	// has caught up while the group has fewer than maxAutoVoters voters, and
+	// remove a voter that stays silent once others make up the group. Default:
+	// an operator decides.
+	PromoteLearners bool
 	// WAL sets the file system of the log for tests.
 	WAL wal.Options
 }
@@ -130,6 +135,7 @@
 		ElectionTimeout:   c.ElectionTimeout,
 		HeartbeatInterval: c.HeartbeatInterval,
 		ReplaceAfter:      c.ReplaceAfter,
+		PromoteLearners:   c.PromoteLearners,
 		AdmitLearners:     !c.RefuseUnknown,
 		MaxEntryBytes:     maxEntryBytes,
 		MaxInFlight:       maxInFlightBytes,
--- a/internal/agreement/core.go
+++ b/internal/agreement/core.go
@@ -23,6 +23,8 @@
 	// ReplaceAfter is how long a voter must be silent before a learner of the
 	// same name takes its place. 0: never.
 	ReplaceAfter time.Duration
+	// PromoteLearners lets the leader grow and mend the group by itself.
+	PromoteLearners bool
 	// AdmitLearners lets the leader add nodes that ask for entry.
 	AdmitLearners bool
 	MaxEntryBytes int // of one append message
@@ -281,6 +283,7 @@
 		p.member.Address = m.From.Address
 	}
 	if m.Type == MsgPreVote {
+		c.readmit(m.From)
 		c.onPreVote(m)
 		return nil
 	}
--- /dev/null
+++ b/internal/fleet/machine.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/agreement"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// State is the replicated state. It is immutable.
+type State struct {
+	// Index is the log index of the newest change; 0 before the first one.
+	Index uint64
+	// ManifestVersion and Manifest are the manifest in force, as accepted.
+	ManifestVersion uint64
+	Manifest        []byte
+	// OutOfService are the failure domains that get no new work, sorted.
+	OutOfService []string
+}
+
+// Machine applies the replicated log. The manifest version never goes back: a
+// change that does not raise it is applied as no change.
+type Machine struct {
+	mu      sync.Mutex
+	state   *State
+	changed chan struct{}
+}
+
+var _ agreement.StateMachine = (*Machine)(nil)
+
+// NewMachine returns a machine with an empty state.
+func NewMachine() *Machine {
+	return &Machine{state: &State{}, changed: make(chan struct{})}
+}
+
+// State returns the present state and a channel that is closed when it changes.
+func (m *Machine) State() (*State, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state, m.changed
+}
+
+// Apply carries out one committed command. The result is nil, or an error if
+// the command does not decode.
+func (m *Machine) Apply(index uint64, command []byte) any {
+	var change api.FleetChange
+	if err := proto.Unmarshal(command, &change); err != nil {
+		return resultcode.Newf(resultcode.MessageMalformed, "fleet change at %d: %v", index, err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := *m.state
+	next.Index = index
+	switch c := change.GetChange().(type) {
+	case *api.FleetChange_Manifest:
+		if c.Manifest.GetVersion() <= next.ManifestVersion {
+			return nil
+		}
+		next.ManifestVersion, next.Manifest = c.Manifest.GetVersion(), c.Manifest.GetDocument()
+	case *api.FleetChange_TakeOut:
+		if slices.Contains(next.OutOfService, c.TakeOut) {
+			return nil
+		}
+		next.OutOfService = append(slices.Clone(next.OutOfService), c.TakeOut)
+		slices.Sort(next.OutOfService)
+	case *api.FleetChange_TakeBack:
+		if !slices.Contains(next.OutOfService, c.TakeBack) {
+			return nil
+		}
+		next.OutOfService = slices.DeleteFunc(slices.Clone(next.OutOfService), func(d string) bool { return d == c.TakeBack })
+	default:
+		return nil
+	}
+	m.replace(&next)
+	return nil
+}
+
+func (m *Machine) replace(s *State) {
+	m.state = s
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s, _ := m.State()
+	return proto.MarshalOptions{Deterministic: true}.Marshal(stateToProto(s, 0))
+}
+
+// Restore replaces the state by a snapshot's.
+func (m *Machine) Restore(snapshot []byte) error {
+	var p api.FleetState
+	if err := proto.Unmarshal(snapshot, &p); err != nil {
+		return resultcode.Newf(resultcode.LogCorrupt, "fleet snapshot: %v", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.replace(stateFromProto(&p))
+	return nil
+}
+
+// stateToProto encodes a state for a reader that holds a manifest version.
+func stateToProto(s *State, held uint64) *api.FleetState {
+	p := &api.FleetState{Index: s.Index, ManifestVersion: s.ManifestVersion, OutOfService: s.OutOfService}
+	if s.ManifestVersion != held {
+		p.Manifest = s.Manifest
+	}
+	return p
+}
+
+func stateFromProto(p *api.FleetState) *State {
+	return &State{Index: p.GetIndex(), ManifestVersion: p.GetManifestVersion(), Manifest: p.GetManifest(), OutOfService: p.GetOutOfService()}
+}
+
+// ManifestChange encodes the command that puts a manifest in force.
+func ManifestChange(version uint64, document []byte) ([]byte, error) {
+	return proto.Marshal(&api.FleetChange{Change: &api.FleetChange_Manifest{
+		Manifest: &api.FleetManifestChange{Version: version, Document: document},
+	}})
+}
+
+// DomainChange encodes the command that takes a failure domain out of service
+// or back.
+func DomainChange(domain string, inService bool) ([]byte, error) {
+	if inService {
+		return proto.Marshal(&api.FleetChange{Change: &api.FleetChange_TakeBack{TakeBack: domain}})
+	}
+	return proto.Marshal(&api.FleetChange{Change: &api.FleetChange_TakeOut{TakeOut: domain}})
+}
+
+var statesToProto = map[TargetState]api.FleetTargetState{
+	Ready:    api.FleetTargetState_FLEET_TARGET_STATE_READY,
+	Draining: api.FleetTargetState_FLEET_TARGET_STATE_DRAINING,
+	Gone:     api.FleetTargetState_FLEET_TARGET_STATE_GONE,
+	Silent:   api.FleetTargetState_FLEET_TARGET_STATE_SILENT,
+}
+
+var statesFromProto = func() map[api.FleetTargetState]TargetState {
+	out := map[api.FleetTargetState]TargetState{}
+	for s, p := range maps.All(statesToProto) {
+		out[p] = s
+	}
+	return out
+}()
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"github.com/endivetrack/endivetrack/internal/manifest"
+)
+
+// Target is one incarnation of a target as an instance knows it.
+type Target struct {
+	Announcement
+	// Heard is when the newest statement arrived.
+	Heard time.Time
+	// ColdUntil is when the target is warm by its own account.
+	ColdUntil time.Time
+}
+
+// View is everything that an instance knows of the deployment. It is
+// immutable.
+type View struct {
+	// Index is the log index of the replicated part.
+	Index uint64
+	// Manifest is nil until the first one arrives.
+	Manifest *manifest.Index
+	// OutOfService are the failure domains that get no new work.
+	OutOfService map[string]bool
+	// Targets are the known targets by id, those that have left included for a
+	// while.
+	Targets map[string]*Target
+	// Entries is the number of instances that share the targets; at least 1.
+	Entries int
+}
+
+// Usable reports whether a target may get new work.
+func (v *View) Usable(t *Target) bool {
+	return !t.State.leaving() && !v.OutOfService[t.FailureDomain]
+}
+
+// Holder keeps the newest view and merges what control instances send. The
+// replicated part never goes back: an older index is ignored.
+type Holder struct {
+	decode func(document []byte) (*manifest.Manifest, error)
+	now    func() time.Time
+
+	mu      sync.Mutex
+	view    *View
+	version uint64 // of the manifest held
+	changed chan struct{}
+}
+
+// NewHolder returns a holder without knowledge. decode reads a manifest
+// document that the control group accepted.
+func NewHolder(decode func([]byte) (*manifest.Manifest, error), now func() time.Time) *Holder {
+	return &Holder{
+		decode: decode, now: now, changed: make(chan struct{}),
+		view: &View{OutOfService: map[string]bool{}, Targets: map[string]*Target{}, Entries: 1},
+	}
+}
+
+// View returns the newest view and a channel that is closed when it changes.
+func (h *Holder) View() (*View, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view, h.changed
+}
+
+// held returns the index of the replicated state and the manifest version.
+func (h *Holder) held() (index, version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view.Index, h.version
+}
+
+// merge takes the news of one control instance.
+func (h *Holder) merge(state *State, news []Announcement, entries int) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := *h.view
+	changed, err := h.mergeState(&next, state)
+	if h.mergeTargets(&next, news) {
+		changed = true
+	}
+	if entries > 0 && entries != next.Entries {
+		next.Entries, changed = entries, true
+	}
+	if changed {
+		h.view = &next
+		close(h.changed)
+		h.changed = make(chan struct{})
+	}
+	return err
+}
+
+func (h *Holder) mergeState(next *View, state *State) (changed bool, err error) {
+	if state == nil || state.Index <= next.Index {
+		return false, nil
+	}
+	if state.ManifestVersion != h.version && len(state.Manifest) > 0 {
+		m, err := h.decode(state.Manifest)
+		if err != nil {
+			return false, err
+		}
+		next.Manifest, h.version = manifest.NewIndex(m), state.ManifestVersion
+	}
+	next.Index = state.Index
+	next.OutOfService = map[string]bool{}
+	for _, d := range state.OutOfService {
+		next.OutOfService[d] = true
+	}
+	return true, nil
+}
+
+func (h *Holder) mergeTargets(next *View, news []Announcement) bool {
+	if len(news) == 0 {
+		return false
+	}
+	now := h.now()
+	targets := make(map[string]*Target, len(next.Targets)+len(news))
+	for id, t := range next.Targets {
+		if t.State.leaving() && now.Sub(t.Heard) > forgetAfter {
+			continue
+		}
+		targets[id] = t
+	}
+	changed := false
+	for _, a := range news {
+		old, known := targets[a.ID]
+		if known && !a.supersedes(&old.Announcement) {
+			continue
+		}
+		if known {
+			a = a.merge(&old.Announcement)
+		} else if a.Address == "" {
+			continue // a leave of a target that is not known here
+		}
+		targets[a.ID] = &Target{Announcement: a, Heard: now, ColdUntil: now.Add(a.Cold)}
+		changed = true
+	}
+	next.Targets = targets
+	return changed
+}
--- /dev/null
+++ b/internal/fleet/watchers.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// watcherSlack is how long after the end of its last poll a watcher still
+// counts as live.
+const watcherSlack = time.Second
+
+// Watcher is an instance that watches a control instance.
+type Watcher struct {
+	Name          string
+	Region        string
+	FailureDomain string
+	// Address is where callers connect; empty if the instance takes none.
+	Address string
+	// Leaving is set once the instance is about to stop.
+	Leaving bool
+}
+
+// Watchers are the instances that watch one control instance at present.
+type Watchers struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	present map[string]*watching
+	changed chan struct{} // closed when a watcher asks for later announcements
+}
+
+type watching struct {
+	Watcher
+	poll  uint64
+	until time.Time
+	// cursor is the announcement up to which the watcher has applied all.
+	cursor uint64
+}
+
+// NewWatchers returns an empty set.
+func NewWatchers(now func() time.Time) *Watchers {
+	return &Watchers{now: now, present: map[string]*watching{}, changed: make(chan struct{})}
+}
+
+// Begin notes a poll that may last for wait. The returned function ends it;
+// lost tells that the connection broke.
+func (w *Watchers) Begin(x Watcher, cursor uint64, wait time.Duration) (end func(lost bool)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.present[x.Name]
+	if p == nil {
+		p = &watching{}
+		w.present[x.Name] = p
+	}
+	p.Watcher, p.cursor = x, cursor
+	p.poll++
+	p.until = w.now().Add(wait + watcherSlack)
+	close(w.changed)
+	w.changed = make(chan struct{})
+	poll := p.poll
+	return func(lost bool) { w.end(p, poll, lost) }
+}
+
+func (w *Watchers) end(p *watching, poll uint64, lost bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p.poll != poll {
+		return
+	}
+	p.until = w.now().Add(watcherSlack)
+	if lost {
+		p.until = w.now()
+	}
+}
+
+// Live returns the live watchers by name.
+func (w *Watchers) Live() []Watcher {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []Watcher
+	now := w.now()
+	for name, p := range w.present {
+		if now.After(p.until) {
+			delete(w.present, name)
+			continue
+		}
+		out = append(out, p.Watcher)
+	}
+	slices.SortFunc(out, func(a, b Watcher) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Seen reports whether every live watcher has applied the announcement with a
+// number, and how many watchers there are. The channel is closed when that may
+// have changed.
+func (w *Watchers) Seen(number uint64) (all bool, live int, changed <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all = true
+	now := w.now()
+	for _, p := range w.present {
+		if now.After(p.until) {
+			continue
+		}
+		live++
+		all = all && p.cursor >= number
+	}
+	return all, live, w.changed
+}
--- /dev/null
+++ b/internal/forward/events.go
@@ -0,0 +1,71 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/endivetrack/endivetrack/internal/stream"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = stream.MaxLineBytes
+
+// eventReader reads whole events and leaves their bytes as they are.
+type eventReader struct {
+	r     *bufio.Reader
+	event []byte
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, connReadBuffer)}
+}
+
+// next returns the bytes of the next whole event with its id; id is 0 if the
+// event has none. The bytes are valid until the next call. io.EOF means that
+// the stream ended between two events.
+func (e *eventReader) next() (raw []byte, id int64, err error) {
+	e.event = e.event[:0]
+	for {
+		line, err := e.r.ReadSlice('\n')
+		e.event = append(e.event, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull) && len(e.event) <= maxEventBytes:
+			continue
+		case errors.Is(err, io.EOF) && len(e.event) > 0:
+			return nil, 0, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, 0, err
+		case len(e.event) > maxEventBytes:
+			return nil, 0, stream.ErrTooLong
+		}
+		if eventEnds(e.event) {
+			return e.event, eventID(e.event), nil
+		}
+	}
+}
+
+// buffered reports whether more bytes have already arrived.
+func (e *eventReader) buffered() bool { return e.r.Buffered() > 0 }
+
+// eventEnds reports whether the bytes end with an empty line.
+func eventEnds(b []byte) bool {
+	return bytes.HasSuffix(b, []byte("\n\n")) || bytes.HasSuffix(b, []byte("\n\r\n"))
+}
+
+// eventID returns the id of an event, or 0.
+func eventID(event []byte) int64 {
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if err == nil {
+			return id
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/forward/table.go
@@ -0,0 +1,280 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/endivetrack/endivetrack/internal/fleet"
+	"github.com/endivetrack/endivetrack/internal/manifest"
+)
+
+// Bounds of what an instance does to a target.
+const (
+	// connShare is the part of a target's connection limit that all instances
+	// together use.
+	connShare = 0.8
+	minConns  = 2
+	// coldShare is the part of the rate a cold target bears that all instances
+	// together use.
+	coldShare = 0.8
+	// suspectFor is how long a target that failed is avoided at first; each
+	// failure in a row doubles it up to suspectMax.
+	suspectFor = 300 * time.Millisecond
+	suspectMax = 5 * time.Second
+)
+
+// endpoint is one incarnation of a target with what this instance has there.
+// The table's lock guards all but the fields set at creation.
+type endpoint struct {
+	id      string
+	born    int64
+	address string
+	zone    string // failure domain
+	region  string
+	service string
+	// left is closed once the target gets no new work for good.
+	left chan struct{}
+
+	target   *fleet.Target
+	usable   bool
+	leaving  bool
+	requests int // in flight from here
+	tokens   int // their expected memory
+	conns    int // open connections from here
+	idle     []*targetConn
+	failures int
+	suspect  time.Time // avoided until then
+	cold     coldLimit
+}
+
+// coldLimit is a token bucket for a cold target.
+type coldLimit struct {
+	tokens float64
+	at     time.Time
+}
+
+// take reports whether the bucket holds a token at a rate, and takes it.
+func (c *coldLimit) take(rate float64, now time.Time) bool {
+	if c.at.IsZero() {
+		c.tokens = 1
+	} else {
+		c.tokens = min(c.tokens+rate*now.Sub(c.at).Seconds(), max(1, rate/4))
+	}
+	c.at = now
+	if c.tokens < 1 {
+		return false
+	}
+	c.tokens--
+	return true
+}
+
+// table holds the endpoints.
+type table struct {
+	self    Place
+	regions map[string]string
+
+	mu        sync.Mutex
+	view      *fleet.View
+	endpoints map[string]*endpoint // by target id
+	news      []*endpoint          // whose standing changed since the last look
+}
+
+func newTable(self Place, regions map[string]string) *table {
+	return &table{self: self, regions: regions, endpoints: map[string]*endpoint{}, view: &fleet.View{}}
+}
+
+// sync brings the endpoints up to a view.
+func (t *table) sync(v *fleet.View, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view = v
+	for id, target := range v.Targets {
+		e := t.endpoints[id]
+		if e != nil && (e.born != target.Born || e.address != target.Address) {
+			t.leave(e)
+			e = nil
+		}
+		if e == nil {
+			e = &endpoint{
+				id: id, born: target.Born, address: target.Address, zone: target.FailureDomain,
+				region: t.regions[target.FailureDomain], service: target.Service, left: make(chan struct{}),
+			}
+			t.endpoints[id] = e
+			t.news = append(t.news, e)
+		}
+		t.update(e, target, now)
+	}
+	for id, e := range t.endpoints {
+		if _, ok := v.Targets[id]; !ok {
+			t.leave(e)
+			delete(t.endpoints, id)
+		}
+	}
+}
+
+func (t *table) update(e *endpoint, target *fleet.Target, now time.Time) {
+	usable := t.view.Usable(target)
+	if usable != e.usable || (e.target != nil && e.target.State != target.State) {
+		t.news = append(t.news, e)
+	}
+	if e.target != nil && target.Sequence > e.target.Sequence {
+		e.suspect = now // it shows life
+	}
+	e.target, e.usable = target, usable
+	if target.State == fleet.Draining || target.State == fleet.Gone {
+		t.leave(e)
+	}
+}
+
+// leave ends new work at an endpoint and drops its idle connections.
+func (t *table) leave(e *endpoint) {
+	if e.leaving {
+		return
+	}
+	e.leaving, e.usable = true, false
+	close(e.left)
+	t.closeIdle(e)
+}
+
+func (t *table) closeIdle(e *endpoint) {
+	for _, c := range e.idle {
+		c.close()
+	}
+	e.conns -= len(e.idle)
+	e.idle = nil
+}
+
+// lease is a request's place at an endpoint.
+type lease struct {
+	table    *table
+	endpoint *endpoint
+	tokens   int
+	released bool
+}
+
+// release gives the place back.
+func (l *lease) release() {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	if !l.released {
+		l.released = true
+		l.endpoint.requests--
+		l.endpoint.tokens -= l.tokens
+	}
+}
+
+// acquire picks an endpoint for a request and takes a place there; nil if none
+// can take it.
+func (t *table) acquire(q *request, exclude []*endpoint, now time.Time) *lease {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	candidates := t.candidates(q, exclude)
+	for len(candidates) > 0 {
+		e := pick(candidates, q, t.self, now, rand.Float64)
+		if t.admitCold(e, q.service, now) {
+			e.requests++
+			e.tokens += q.tokens.expected()
+			return &lease{table: t, endpoint: e, tokens: q.tokens.expected()}
+		}
+		candidates = slices.DeleteFunc(candidates, func(x *endpoint) bool { return x == e })
+	}
+	return nil
+}
+
+// candidates are the endpoints that may serve a request.
+func (t *table) candidates(q *request, exclude []*endpoint) []*endpoint {
+	most := t.maxConns(q.service)
+	var out []*endpoint
+	for _, e := range t.endpoints {
+		if e.service != q.service.Name || !e.usable || slices.Contains(exclude, e) {
+			continue
+		}
+		if !allowed(q, e.region) || (e.conns >= most && len(e.idle) == 0) {
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// allowed reports whether route and client account let a region serve q.
+func allowed(q *request, region string) bool {
+	if len(q.route.Regions) > 0 && !slices.Contains(q.route.Regions, region) {
+		return false
+	}
+	return q.account == nil || len(q.account.Regions) == 0 || slices.Contains(q.account.Regions, region)
+}
+
+// maxConns is this instance's share of a target's connection limit.
+func (t *table) maxConns(s *manifest.Service) int {
+	if s.MaxConns <= 0 {
+		return 1 << 10
+	}
+	return max(minConns, int(connShare*float64(s.MaxConns))/max(1, t.view.Entries))
+}
+
+// admitCold takes a token for a cold endpoint.
+func (t *table) admitCold(e *endpoint, s *manifest.Service, now time.Time) bool {
+	if !now.Before(e.target.ColdUntil) || s.ColdPerSecond <= 0 {
+		return true
+	}
+	return e.cold.take(coldShare*s.ColdPerSecond/float64(max(1, t.view.Entries)), now)
+}
+
+// entries is the number of instances that share the targets.
+func (t *table) entries() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(1, t.view.Entries)
+}
+
+// failed notes that an endpoint did not answer as it should.
+func (t *table) failed(e *endpoint, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.suspect = now.Add(min(suspectFor<<min(e.failures, 5), suspectMax))
+	e.failures++
+}
+
+// succeeded notes a whole answer.
+func (t *table) succeeded(e *endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.failures, e.suspect = 0, time.Time{}
+}
+
+// still reports whether an endpoint may get new work at this moment.
+func (t *table) still(e *endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return e.usable
+}
+
+// takeNews returns the endpoints whose standing changed since the last call.
+func (t *table) takeNews() []endpointNews {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []endpointNews
+	for _, e := range t.news {
+		out = append(out, endpointNews{id: e.id, service: e.service, zone: e.zone, usable: e.usable, state: e.target.State, sequence: e.target.Sequence})
+	}
+	t.news = nil
+	return out
+}
+
+// endpointNews is what the log tells of an endpoint.
+type endpointNews struct {
+	id, service, zone string
+	usable            bool
+	state             fleet.TargetState
+	sequence          uint64
+}
+
+func (f *Forwarder) logTargets() {
+	for _, n := range f.table.takeNews() {
+		f.config.Logger.Info().Str("target", n.id).Str("service", n.service).Str("failure_domain", n.zone).
+			Bool("usable", n.usable).Int("state", int(n.state)).Uint64("sequence", n.sequence).Msg("target")
+	}
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/endivetrack/endivetrack/internal/faultpoint"
+	"github.com/endivetrack/endivetrack/internal/netconn"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/timeline"
 )
@@ -25,7 +26,6 @@
 	maxHeaderBytes    = 32 << 10
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
-	peerDialTimeout   = time.Second
 )
 
 // Env is what a process hands to its parts.
@@ -68,7 +68,7 @@
 // PeerClient returns an HTTP client for calls to the system's processes.
 func PeerClient(peerKey string, clock *timeline.Clock) *http.Client {
 	base := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return netconn.Dial(ctx, address) },
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true, // small binary messages; spares a header
