--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -69,8 +69,8 @@
 	return &Server{
 		log: c.Log, machine: c.Machine, epoch: c.Epoch, self: c.Address, peers: c.Peers,
 		logger: c.Logger, metrics: c.Metrics,
-		registry:  NewRegistry(c.Interval, c.Now),
-		watchers:  NewWatchers(c.Now),
+		registry: NewRegistry(c.Interval, c.Now),
+		watchers: NewWatchers(c.Now),
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -84,9 +84,9 @@
 
 // Forwarder serves callers.
 type Forwarder struct {
-	config   Config
-	table    *table
-	budget   *budget
+	config Config
+	table  *table
+	budget *budget
 
 	mu       sync.Mutex
 	stopping bool
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -7,12 +7,8 @@
 	"io"
 	"net/http"
 	"time"
-
 )
 
-// maxContinuations bounds how often one stream goes on at another target.
-const maxContinuations = 16
-
 var (
 	// errGap means that a stream went on behind events that are missing.
 	errGap = errors.New("events are missing")
@@ -177,4 +173,3 @@
 		r.out.WriteHeader(http.StatusOK)
 	}
 }
-
--- a/internal/forward/tokens.go
+++ b/internal/forward/tokens.go
@@ -5,10 +5,6 @@
 	"strings"
 )
 
-// eventTokens is how many tokens an event of a stream is taken to hold when
-// memory is estimated.
-const eventTokens = 4
-
 // tokenUse is the memory that a request needs at an engine, in tokens.
 type tokenUse struct {
 	prompt int
