forward: move runs one after the other, near the source; share loads between entry instances

A second copy of a run waited behind the first copies of all others on the source's link, and a run that has a copy somewhere is refused by every other target until it is given back. Change: runs leave a source one at a time, instances take turns by name; copies stay in the source's failure domain; failed copies are released; instances exchange their loads by datagrams (internal/loads), so that placement sees the sum.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -121,7 +121,8 @@
 		delete(f.running, address)
 	}()
 	client := api.NewFleetQueryProtobufClient("http://"+address, f.peers)
-	place := place{}
+	place := place{control: address}
+	defer f.holder.setEntries(address, nil)
 	pause := retryPause
 	up := false
 	for ctx.Err() == nil && f.isWanted(address) {
@@ -151,8 +152,10 @@
 
 // place is the follower's position at one control instance.
 type place struct {
-	epoch  string
-	cursor uint64
+	control string // its address
+	epoch   string
+	cursor  uint64
+	entries uint64 // version of the list of entry instances
 }
 
 // poll makes one call. It is cut short when the instance starts to leave.
@@ -178,12 +181,8 @@
 	}()
 	index, version := f.holder.held()
 	resp, err := client.Watch(ctx, &api.FleetWatchRequest{
-		Watcher: &api.FleetWatcher{
-			Name: self.Name, Region: self.Region, FailureDomain: self.FailureDomain,
-			Address: self.Address, Leaving: self.Leaving,
-		},
-		StateIndex: index, ManifestVersion: version, Epoch: p.epoch, Cursor: p.cursor,
-		WaitMs: uint32(pollWait.Milliseconds()),
+		Watcher: watcherToProto(&self), StateIndex: index, ManifestVersion: version,
+		Epoch: p.epoch, Cursor: p.cursor, EntriesVersion: p.entries, WaitMs: uint32(pollWait.Milliseconds()),
 	})
 	if err != nil {
 		mu.Lock()
@@ -205,10 +204,18 @@
 	for _, a := range resp.GetAnnouncements() {
 		news = append(news, announcementFromProto(a))
 	}
-	if err := f.holder.merge(state, news, int(resp.GetEntries())); err != nil {
+	if err := f.holder.merge(state, news); err != nil {
 		return err
 	}
 	p.epoch, p.cursor = resp.GetEpoch(), resp.GetCursor()
+	if resp.GetEntriesVersion() != p.entries {
+		entries := make([]Watcher, 0, len(resp.GetEntries()))
+		for _, w := range resp.GetEntries() {
+			entries = append(entries, watcherFromProto(w))
+		}
+		f.holder.setEntries(p.control, entries)
+		p.entries = resp.GetEntriesVersion()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -236,11 +236,7 @@
 	if req.GetEpoch() != s.epoch {
 		cursor = 0
 	}
-	w := req.GetWatcher()
-	end := s.watchers.Begin(Watcher{
-		Name: w.GetName(), Region: w.GetRegion(), FailureDomain: w.GetFailureDomain(),
-		Address: w.GetAddress(), Leaving: w.GetLeaving(),
-	}, cursor, wait)
+	end := s.watchers.Begin(watcherFromProto(req.GetWatcher()), cursor, wait)
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
@@ -264,7 +260,13 @@
 }
 
 func (s *Server) answer(req *api.FleetWatchRequest, state *State, news []Announcement, last uint64) *api.FleetWatchResponse {
-	out := &api.FleetWatchResponse{Epoch: s.epoch, Cursor: last, Control: s.controls(), Entries: uint32(len(s.Live()))}
+	live := s.Live()
+	out := &api.FleetWatchResponse{Epoch: s.epoch, Cursor: last, Control: s.controls(), EntriesVersion: listVersion(live)}
+	if out.EntriesVersion != req.GetEntriesVersion() {
+		for i := range live {
+			out.Entries = append(out.Entries, watcherToProto(&live[i]))
+		}
+	}
 	if state.Index > req.GetStateIndex() {
 		out.State = stateToProto(state, req.GetManifestVersion())
 	}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -28,10 +28,14 @@
 	// Targets are the known targets by id, those that have left included for a
 	// while.
 	Targets map[string]*Target
-	// Entries is the number of instances that share the targets; at least 1.
-	Entries int
+	// Entries are the instances that share the targets, by name, as far as any
+	// control instance lists them.
+	Entries map[string]Watcher
 }
 
+// Sharers is the number of instances that share the targets; at least 1.
+func (v *View) Sharers() int { return max(1, len(v.Entries)) }
+
 // Usable reports whether a target may get new work.
 func (v *View) Usable(t *Target) bool {
 	return !t.State.leaving() && !v.OutOfService[t.FailureDomain]
@@ -45,7 +49,8 @@
 
 	mu      sync.Mutex
 	view    *View
-	version uint64 // of the manifest held
+	version uint64               // of the manifest held
+	lists   map[string][]Watcher // entry instances by the control instance that lists them
 	changed chan struct{}
 }
 
@@ -53,8 +58,8 @@
 // document that the control group accepted.
 func NewHolder(decode func([]byte) (*manifest.Manifest, error), now func() time.Time) *Holder {
 	return &Holder{
-		decode: decode, now: now, changed: make(chan struct{}),
-		view: &View{OutOfService: map[string]bool{}, Targets: map[string]*Target{}, Entries: 1},
+		decode: decode, now: now, changed: make(chan struct{}), lists: map[string][]Watcher{},
+		view: &View{OutOfService: map[string]bool{}, Targets: map[string]*Target{}, Entries: map[string]Watcher{}},
 	}
 }
 
@@ -73,7 +78,7 @@
 }
 
 // merge takes the news of one control instance.
-func (h *Holder) merge(state *State, news []Announcement, entries int) error {
+func (h *Holder) merge(state *State, news []Announcement) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := *h.view
@@ -81,17 +86,38 @@
 	if h.mergeTargets(&next, news) {
 		changed = true
 	}
-	if entries > 0 && entries != next.Entries {
-		next.Entries, changed = entries, true
-	}
 	if changed {
-		h.view = &next
-		close(h.changed)
-		h.changed = make(chan struct{})
+		h.replace(&next)
 	}
 	return err
 }
 
+func (h *Holder) replace(next *View) {
+	h.view = next
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// setEntries takes the entry instances that a control instance lists; nil
+// forgets its list.
+func (h *Holder) setEntries(control string, list []Watcher) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if list == nil {
+		delete(h.lists, control)
+	} else {
+		h.lists[control] = list
+	}
+	next := *h.view
+	next.Entries = map[string]Watcher{}
+	for _, l := range h.lists {
+		for _, w := range l {
+			next.Entries[w.Name] = w
+		}
+	}
+	h.replace(&next)
+}
+
 func (h *Holder) mergeState(next *View, state *State) (changed bool, err error) {
 	if state == nil || state.Index <= next.Index {
 		return false, nil
--- a/internal/fleet/watchers.go
+++ b/internal/fleet/watchers.go
@@ -5,6 +5,10 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/endivetrack/endivetrack/api"
 )
 
 // watcherSlack is how long after the end of its last poll a watcher still
@@ -20,6 +24,34 @@
 	Address string
 	// Leaving is set once the instance is about to stop.
 	Leaving bool
+	// Internal is where other instances send datagrams.
+	Internal string
+}
+
+// listVersion identifies a list of instances; 0 is the empty list.
+func listVersion(list []Watcher) uint64 {
+	if len(list) == 0 {
+		return 0
+	}
+	h := xxhash.New()
+	for _, w := range list {
+		_, _ = h.WriteString(w.Name + "\x00" + w.Internal + "\x00") // never fails
+	}
+	return h.Sum64()
+}
+
+func watcherToProto(w *Watcher) *api.FleetWatcher {
+	return &api.FleetWatcher{
+		Name: w.Name, Region: w.Region, FailureDomain: w.FailureDomain,
+		Address: w.Address, Leaving: w.Leaving, Internal: w.Internal,
+	}
+}
+
+func watcherFromProto(p *api.FleetWatcher) Watcher {
+	return Watcher{
+		Name: p.GetName(), Region: p.GetRegion(), FailureDomain: p.GetFailureDomain(),
+		Address: p.GetAddress(), Leaving: p.GetLeaving(), Internal: p.GetInternal(),
+	}
 }
 
 // Watchers are the instances that watch one control instance at present.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -78,6 +78,7 @@
 
 // Place is where an instance runs.
 type Place struct {
+	Name          string
 	Region        string
 	FailureDomain string
 }
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -20,7 +20,7 @@
 	// movePause follows an attempt that found no run or no room yet.
 	movePause = 60 * time.Millisecond
 	// maxMoveTries bounds the targets that are asked for room.
-	maxMoveTries = 12
+	maxMoveTries = 40
 	// handoffWait bounds the wait for the last copy after the stream has ended.
 	handoffWait = 1500 * time.Millisecond
 )
@@ -137,36 +137,83 @@
 	return nil
 }
 
-// move copies the run to another target, first while it goes on.
+// move copies the run to another target, first while it goes on. Copies share
+// the source's link in the order in which they are asked for: runs are moved
+// one after the other, so that a run's last copy, during which its stream
+// pauses, does not wait behind the first copies of others.
 func (m *mover) move(ctx context.Context) *handoff {
-	q, source := m.run.q, m.source.endpoint
+	source := m.source.endpoint
+	if !pause(ctx, m.f.table.turn(source, m.run.q)) {
+		return nil
+	}
 	exclude := []*endpoint{source}
 	for range maxMoveTries {
-		l := m.f.table.acquire(q, exclude, time.Now())
-		if l == nil {
-			exclude = exclude[:1]
-			if !pause(ctx, movePause) {
-				return nil
-			}
-			continue
+		select {
+		case <-ctx.Done():
+			return nil
+		case source.moving <- struct{}{}:
 		}
-		next, err := m.moveTo(ctx, l)
-		if next != nil {
+		next, tried, err := m.try(ctx, exclude)
+		<-source.moving
+		if next != nil || ctx.Err() != nil {
 			return next
 		}
-		l.release()
-		m.f.config.Metrics.Counter("forward.move_failed").Inc(1)
-		m.f.config.Logger.Info().Str("request", q.id).Str("from", source.id).Str("to", l.endpoint.id).Err(err).Msg("run not moved")
-		if errors.Is(err, ErrNoRoom) {
-			exclude = append(exclude, l.endpoint)
+		switch {
+		case tried == nil:
+			exclude = exclude[:1]
+		case errors.Is(err, ErrNoRoom):
+			exclude = append(exclude, tried)
+			continue
 		}
-		if ctx.Err() != nil || !pause(ctx, movePause) {
+		if !pause(ctx, movePause) {
 			return nil
 		}
 	}
 	return nil
 }
 
+// try moves the run to the best target that is not excluded.
+func (m *mover) try(ctx context.Context, exclude []*endpoint) (*handoff, *endpoint, error) {
+	q, source := m.run.q, m.source.endpoint
+	l := m.f.table.acquire(&demand{
+		q: q, from: Place{Region: source.region, FailureDomain: source.zone}, far: nearSource, exclude: exclude, room: true,
+	}, time.Now())
+	if l == nil {
+		return nil, nil, nil
+	}
+	next, err := m.moveTo(ctx, l)
+	if next != nil {
+		return next, l.endpoint, nil
+	}
+	l.release()
+	m.f.config.Metrics.Counter("forward.move_failed").Inc(1)
+	m.f.config.Logger.Info().Str("request", q.id).Str("from", source.id).Str("to", l.endpoint.id).Err(err).Msg("run not moved")
+	if m.handle != "" && ctx.Err() == nil {
+		// A run has one copy at most: another target is refused until it is
+		// given back.
+		if err := m.f.config.Engines.Release(ctx, source.address, m.handle); err != nil {
+			m.f.config.Metrics.Counter("forward.copy_not_released").Inc(1)
+		}
+		m.handle = ""
+	}
+	return nil, l.endpoint, err
+}
+
+// turn is how long this instance waits before it moves runs off a source, so
+// that the instances do so one after the other: in the order of their names,
+// each after the time that the copies of those before it take.
+func (t *table) turn(e *endpoint, q *request) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tokens := 0
+	for name, l := range e.others {
+		if name < t.self.Name {
+			tokens += l.Tokens
+		}
+	}
+	return q.service.Engine.CopyTime(tokens)
+}
+
 // moveTo copies the run to one target; the run stops with the last copy.
 func (m *mover) moveTo(ctx context.Context, l *lease) (*handoff, error) {
 	q, source := m.run.q, m.source.endpoint
@@ -201,15 +248,6 @@
 	return m.f.config.Engines.Move(ctx, m.source.endpoint.address, m.run.q.id, l.endpoint.address, last)
 }
 
-// place takes a place at a certain endpoint.
-func (t *table) place(e *endpoint, q *request) *lease {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e.requests++
-	e.tokens += q.tokens.expected()
-	return &lease{table: t, endpoint: e, tokens: q.tokens.expected()}
-}
-
 // pause waits; false if ctx ended first.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -6,13 +6,8 @@
 	"github.com/endivetrack/endivetrack/internal/fleet"
 )
 
-// Costs that placement weighs, in parts of a target's capacity. They answer an
-// everyday load: targets of the own failure domain are preferred until they
-// are clearly fuller than others, since traffic between failure domains is
-// paid for and slower.
+// Costs that placement weighs, in parts of a target's capacity.
 const (
-	zoneCost   = 0.15
-	regionCost = 0.45
 	// silentCost ranks targets that sent no announcement for a while behind
 	// all others, suspectCost those that failed lately behind those.
 	silentCost  = 4
@@ -21,15 +16,43 @@
 	// become likely, fullCost what exceeding it costs.
 	nearFull = 0.8
 	fullCost = 3
+	// roomShare is the part of an engine's memory that a moved run may fill.
+	roomShare = 0.95
 )
 
+// distance is what leaving a failure domain or a region costs.
+type distance struct {
+	zone, region float64
+}
+
+var (
+	// nearCaller answers an everyday load: targets near the caller are
+	// preferred until they are clearly fuller than others, since traffic
+	// between failure domains is paid for and slower.
+	nearCaller = distance{zone: 0.15, region: 0.45}
+	// nearSource answers a target that leaves within seconds: a copy to
+	// another failure domain takes twice as long, and there may not be time
+	// for it.
+	nearSource = distance{zone: 1, region: 1.5}
+)
+
+// demand is what a place is looked for.
+type demand struct {
+	q       *request
+	from    Place // near which place
+	far     distance
+	exclude []*endpoint
+	// room leaves out engines whose memory the request would fill.
+	room bool
+}
+
 // pick returns the cheapest of some endpoints; equals are drawn by lot. random
 // yields values in [0, 1).
-func pick(candidates []*endpoint, q *request, self Place, now time.Time, random func() float64) *endpoint {
+func pick(candidates []*endpoint, d *demand, now time.Time, random func() float64) *endpoint {
 	var best *endpoint
 	least, ties := 0.0, 0.0
 	for _, e := range candidates {
-		c := cost(e, q, self, now)
+		c := cost(e, d, now)
 		switch {
 		case best == nil || c < least:
 			best, least, ties = e, c, 1
@@ -43,14 +66,14 @@
 	return best
 }
 
-// cost is what placing q at e costs.
-func cost(e *endpoint, q *request, self Place, now time.Time) float64 {
-	c := load(e, q)
+// cost is what a place at e costs.
+func cost(e *endpoint, d *demand, now time.Time) float64 {
+	c := load(e, d.q)
 	switch {
-	case e.region != self.Region:
-		c += regionCost
-	case e.zone != self.FailureDomain:
-		c += zoneCost
+	case e.region != d.from.Region:
+		c += d.far.region
+	case e.zone != d.from.FailureDomain:
+		c += d.far.zone
 	}
 	if e.target.State == fleet.Silent {
 		c += silentCost
@@ -63,15 +86,20 @@
 
 // load is the part of e's capacity that is taken once q is there.
 func load(e *endpoint, q *request) float64 {
-	engine := q.service.Engine
+	engine, there := q.service.Engine, e.total()
 	if engine == nil {
-		return float64(e.requests+1) / float64(max(1, e.target.Slots))
+		return float64(there.Requests+1) / float64(max(1, e.target.Slots))
 	}
-	slots := float64(e.requests+1) / float64(max(1, engine.Slots))
-	memory := float64(e.tokens+q.tokens.expected()) / float64(max(1, engine.MemoryTokens))
+	slots := float64(there.Requests+1) / float64(max(1, engine.Slots))
+	memory := memoryShare(e, q)
 	c := max(slots, memory)
 	if memory > nearFull {
 		c += fullCost * (memory - nearFull)
 	}
 	return c
 }
+
+// memoryShare is the part of an engine's memory that is taken once q is there.
+func memoryShare(e *endpoint, q *request) float64 {
+	return float64(e.total().Tokens+q.tokens.expected()) / float64(max(1, q.service.Engine.MemoryTokens))
+}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -60,7 +60,7 @@
 	var a attempts
 	f.budget.request(q.service.Name, time.Now())
 	for {
-		l := f.table.acquire(q, a.exclude, time.Now())
+		l := f.table.acquire(f.table.near(q, a.exclude), time.Now())
 		if l == nil {
 			return f.settle(ctx, w, q, &a)
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -34,7 +34,7 @@
 	r := &run{f: f, q: q, out: w}
 	f.budget.request(q.service.Name, time.Now())
 	var from *resume
-	l := f.table.acquire(q, nil, time.Now())
+	l := f.table.acquire(f.table.near(q, nil), time.Now())
 	for {
 		if l == nil {
 			return r.end(ctx)
@@ -60,7 +60,7 @@
 		if r.lastEvent > 0 {
 			from = &resume{lastEvent: r.lastEvent}
 		}
-		l = f.table.acquire(q, r.attempts.exclude, time.Now())
+		l = f.table.acquire(f.table.near(q, r.attempts.exclude), time.Now())
 	}
 }
 
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -47,6 +47,26 @@
 	failures int
 	suspect  time.Time // avoided until then
 	cold     coldLimit
+	// others is what the other instances have in flight there.
+	others map[string]Load
+	// moving holds a token while one run is moved away.
+	moving chan struct{}
+}
+
+// Load is what one instance has in flight at a target.
+type Load struct {
+	Requests int
+	Tokens   int // their expected memory
+}
+
+// total is what all instances have in flight at the endpoint.
+func (e *endpoint) total() Load {
+	sum := Load{Requests: e.requests, Tokens: e.tokens}
+	for _, l := range e.others {
+		sum.Requests += l.Requests
+		sum.Tokens += l.Tokens
+	}
+	return sum
 }
 
 // coldLimit is a token bucket for a cold target.
@@ -100,6 +120,7 @@
 			e = &endpoint{
 				id: id, born: target.Born, address: target.Address, zone: target.FailureDomain,
 				region: t.regions[target.FailureDomain], service: target.Service, left: make(chan struct{}),
+				others: map[string]Load{}, moving: make(chan struct{}, 1),
 			}
 			t.endpoints[id] = e
 			t.news = append(t.news, e)
@@ -165,33 +186,54 @@
 	}
 }
 
-// acquire picks an endpoint for a request and takes a place there; nil if none
-// can take it.
-func (t *table) acquire(q *request, exclude []*endpoint, now time.Time) *lease {
+// near returns the demand of a caller's request.
+func (t *table) near(q *request, exclude []*endpoint) *demand {
+	return &demand{q: q, from: t.self, far: nearCaller, exclude: exclude}
+}
+
+// acquire picks an endpoint and takes a place there; nil if none can take the
+// request.
+func (t *table) acquire(d *demand, now time.Time) *lease {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	candidates := t.candidates(q, exclude)
+	candidates := t.candidates(d)
 	for len(candidates) > 0 {
-		e := pick(candidates, q, t.self, now, rand.Float64)
-		if t.admitCold(e, q.service, now) {
-			e.requests++
-			e.tokens += q.tokens.expected()
-			return &lease{table: t, endpoint: e, tokens: q.tokens.expected()}
+		e := pick(candidates, d, now, rand.Float64)
+		if t.admitCold(e, d.q.service, now) {
+			return t.take(e, d.q)
 		}
 		candidates = slices.DeleteFunc(candidates, func(x *endpoint) bool { return x == e })
 	}
 	return nil
 }
 
+// take takes a place at an endpoint; the caller holds the lock.
+func (t *table) take(e *endpoint, q *request) *lease {
+	tokens := q.tokens.expected()
+	e.requests++
+	e.tokens += tokens
+	return &lease{table: t, endpoint: e, tokens: tokens}
+}
+
+// place takes a place at a certain endpoint.
+func (t *table) place(e *endpoint, q *request) *lease {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.take(e, q)
+}
+
 // candidates are the endpoints that may serve a request.
-func (t *table) candidates(q *request, exclude []*endpoint) []*endpoint {
-	most := t.maxConns(q.service)
+func (t *table) candidates(d *demand) []*endpoint {
+	most := t.maxConns(d.q.service)
 	var out []*endpoint
 	for _, e := range t.endpoints {
-		if e.service != q.service.Name || !e.usable || slices.Contains(exclude, e) {
+		if e.service != d.q.service.Name || !e.usable || slices.Contains(d.exclude, e) {
+			continue
+		}
+		if !allowed(d.q, e.region) || (e.conns >= most && len(e.idle) == 0) {
 			continue
 		}
-		if !allowed(q, e.region) || (e.conns >= most && len(e.idle) == 0) {
+		if d.room && memoryShare(e, d.q) > roomShare {
 			continue
 		}
 		out = append(out, e)
@@ -212,7 +254,7 @@
 	if s.MaxConns <= 0 {
 		return 1 << 10
 	}
-	return max(minConns, int(connShare*float64(s.MaxConns))/max(1, t.view.Entries))
+	return max(minConns, int(connShare*float64(s.MaxConns))/t.view.Sharers())
 }
 
 // admitCold takes a token for a cold endpoint.
@@ -220,14 +262,42 @@
 	if !now.Before(e.target.ColdUntil) || s.ColdPerSecond <= 0 {
 		return true
 	}
-	return e.cold.take(coldShare*s.ColdPerSecond/float64(max(1, t.view.Entries)), now)
+	return e.cold.take(coldShare*s.ColdPerSecond/float64(t.view.Sharers()), now)
+}
+
+// Loads returns what this instance has in flight, by target id.
+func (f *Forwarder) Loads() map[string]Load {
+	t := f.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]Load{}
+	for id, e := range t.endpoints {
+		if e.requests > 0 {
+			out[id] = Load{Requests: e.requests, Tokens: e.tokens}
+		}
+	}
+	return out
+}
+
+// SetLoads takes what another instance has in flight; nil forgets it.
+func (f *Forwarder) SetLoads(instance string, loads map[string]Load) {
+	t := f.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.endpoints {
+		if l, ok := loads[id]; ok {
+			e.others[instance] = l
+		} else {
+			delete(e.others, instance)
+		}
+	}
 }
 
 // entries is the number of instances that share the targets.
 func (t *table) entries() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(1, t.view.Entries)
+	return t.view.Sharers()
 }
 
 // failed notes that an endpoint did not answer as it should.
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -10,6 +10,7 @@
 	"github.com/endivetrack/endivetrack/internal/directory"
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/forward"
+	"github.com/endivetrack/endivetrack/internal/loads"
 	"github.com/endivetrack/endivetrack/internal/manifest"
 )
 
@@ -58,16 +59,21 @@
 	}
 	holder := fleet.NewHolder(c.Decode, time.Now)
 	f := forward.New(forward.Config{
-		Self: forward.Place{Region: c.Region, FailureDomain: c.FailureDomain}, Regions: c.Regions,
+		Self: forward.Place{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain}, Regions: c.Regions,
 		Headers: c.Headers, Engines: c.Engines, Budget: c.Budget, Holder: holder,
 		Logger: env.Log, Metrics: env.Metrics, BufferBytes: buffer,
 	})
-	self := fleet.Watcher{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain, Address: c.Callers}
+	self := fleet.Watcher{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain, Address: c.Callers, Internal: c.Internal}
 	follower := fleet.NewFollower(self, c.Seeds, holder, env.Peers, env.Log, env.Metrics)
+	exchange, err := loads.Listen(c.Name, c.Internal, holder, f, env.Metrics)
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	loops, stopLoops := context.WithCancel(context.Background())
 	defer stopLoops()
 	go follower.Run(loops)
 	go f.Run(loops)
+	go exchange.Run(loops)
 	go c.watchReloads(loops, env, follower.SetSeeds)
 
 	s := newServers()
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -91,6 +91,14 @@
 	Moves, Backups bool
 }
 
+// CopyTime is how long the memory of some tokens takes over an engine's link.
+func (e *Engine) CopyTime(tokens int) time.Duration {
+	if e.LinkMbps <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens*e.BytesPerToken*8) / (e.LinkMbps * 1e6) * float64(time.Second))
+}
+
 // ClientAccount is a customer with its keys.
 type ClientAccount struct {
 	Name string
