--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -11,10 +11,13 @@
 
 // Pace of moving a run off a target that leaves.
 const (
-	// preCopies are the copies made while the run goes on. Each copies what the
-	// one before left over, so that the last one, during which the stream
-	// pauses, is short.
-	preCopies = 2
+	// leastPreCopies and maxPreCopies bound the copies made while the run goes
+	// on. Each copies what the one before left over, so that the last one,
+	// during which the stream pauses, is short; they are repeated while one
+	// takes longer than shortCopy, since others use the same link.
+	leastPreCopies = 2
+	maxPreCopies   = 6
+	shortCopy      = 60 * time.Millisecond
 	// moveTimeout bounds one copy.
 	moveTimeout = 4 * time.Second
 	// movePause follows an attempt that found no run or no room yet.
@@ -218,12 +221,18 @@
 func (m *mover) moveTo(ctx context.Context, l *lease) (*handoff, error) {
 	q, source := m.run.q, m.source.endpoint
 	started := time.Now()
-	for range preCopies {
+	m.f.table.countIncoming(l.endpoint, 1)
+	defer m.f.table.countIncoming(l.endpoint, -1)
+	for n := 1; n <= maxPreCopies; n++ {
+		began := time.Now()
 		c, err := m.copy(ctx, l, false)
 		if err != nil {
 			return nil, err
 		}
 		m.handle = c.Handle
+		if n >= leastPreCopies && time.Since(began) < shortCopy {
+			break
+		}
 	}
 	m.stoppingOnce.Do(func() { close(m.stopping) })
 	c, err := m.copy(ctx, l, true)
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -23,6 +23,9 @@
 // distance is what leaving a failure domain or a region costs.
 type distance struct {
 	zone, region float64
+	// incoming is what each copy costs that is on its way to a target: copies
+	// share its link.
+	incoming float64
 }
 
 var (
@@ -33,7 +36,7 @@
 	// nearSource answers a target that leaves within seconds: a copy to
 	// another failure domain takes twice as long, and there may not be time
 	// for it.
-	nearSource = distance{zone: 1, region: 1.5}
+	nearSource = distance{zone: 1, region: 1.5, incoming: 0.7}
 )
 
 // demand is what a place is looked for.
@@ -68,7 +71,7 @@
 
 // cost is what a place at e costs.
 func cost(e *endpoint, d *demand, now time.Time) float64 {
-	c := load(e, d.q)
+	c := load(e, d.q) + d.far.incoming*float64(e.total().Incoming)
 	switch {
 	case e.region != d.from.Region:
 		c += d.far.region
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -42,6 +42,7 @@
 	leaving  bool
 	requests int // in flight from here
 	tokens   int // their expected memory
+	incoming int // copies on their way from other targets
 	conns    int // open connections from here
 	idle     []*targetConn
 	failures int
@@ -57,14 +58,16 @@
 type Load struct {
 	Requests int
 	Tokens   int // their expected memory
+	Incoming int // copies on their way to the target
 }
 
 // total is what all instances have in flight at the endpoint.
 func (e *endpoint) total() Load {
-	sum := Load{Requests: e.requests, Tokens: e.tokens}
+	sum := Load{Requests: e.requests, Tokens: e.tokens, Incoming: e.incoming}
 	for _, l := range e.others {
 		sum.Requests += l.Requests
 		sum.Tokens += l.Tokens
+		sum.Incoming += l.Incoming
 	}
 	return sum
 }
@@ -273,7 +276,7 @@
 	out := map[string]Load{}
 	for id, e := range t.endpoints {
 		if e.requests > 0 {
-			out[id] = Load{Requests: e.requests, Tokens: e.tokens}
+			out[id] = Load{Requests: e.requests, Tokens: e.tokens, Incoming: e.incoming}
 		}
 	}
 	return out
@@ -300,6 +303,13 @@
 	return t.view.Sharers()
 }
 
+// countIncoming notes a copy that is on its way to an endpoint.
+func (t *table) countIncoming(e *endpoint, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.incoming += n
+}
+
 // failed notes that an endpoint did not answer as it should.
 func (t *table) failed(e *endpoint, now time.Time) {
 	t.mu.Lock()
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -98,7 +98,7 @@
 func (x *Exchange) send(peers []string, loads map[string]forward.Load) {
 	m := &api.FleetLoad{Name: x.self}
 	for id, l := range loads {
-		m.Targets = append(m.Targets, &api.FleetTargetLoad{Id: id, Requests: uint32(l.Requests), Tokens: uint32(l.Tokens)})
+		m.Targets = append(m.Targets, &api.FleetTargetLoad{Id: id, Requests: uint32(l.Requests), Tokens: uint32(l.Tokens), Incoming: uint32(l.Incoming)})
 	}
 	data, err := proto.Marshal(m)
 	if err != nil || len(data) > maxDatagram {
@@ -148,7 +148,7 @@
 	}
 	loads := make(map[string]forward.Load, len(m.GetTargets()))
 	for _, t := range m.GetTargets() {
-		loads[t.GetId()] = forward.Load{Requests: int(t.GetRequests()), Tokens: int(t.GetTokens())}
+		loads[t.GetId()] = forward.Load{Requests: int(t.GetRequests()), Tokens: int(t.GetTokens()), Incoming: int(t.GetIncoming())}
 	}
 	heard[m.GetName()] = now
 	x.loads.SetLoads(m.GetName(), loads)
