--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -179,7 +179,7 @@
 func (m *mover) try(ctx context.Context, exclude []*endpoint) (*handoff, *endpoint, error) {
 	q, source := m.run.q, m.source.endpoint
 	l := m.f.table.acquire(&demand{
-		q: q, from: Place{Region: source.region, FailureDomain: source.zone}, far: nearSource, exclude: exclude, room: true,
+		q: q, from: Place{Region: source.region, FailureDomain: source.zone}, far: nearSource, exclude: exclude, copied: true,
 	}, time.Now())
 	if l == nil {
 		return nil, nil, nil
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -36,7 +36,7 @@
 	// nearSource answers a target that leaves within seconds: a copy to
 	// another failure domain takes twice as long, and there may not be time
 	// for it.
-	nearSource = distance{zone: 1, region: 1.5, incoming: 0.7}
+	nearSource = distance{zone: 1, incoming: 0.7}
 )
 
 // demand is what a place is looked for.
@@ -45,8 +45,11 @@
 	from    Place // near which place
 	far     distance
 	exclude []*endpoint
-	// room leaves out engines whose memory the request would fill.
-	room bool
+	// copied is set for a run whose memory is copied: engines whose memory it
+	// would fill are left out, and those of other regions, since one copy
+	// would block the narrow link between regions and the source's own for
+	// many seconds.
+	copied bool
 }
 
 // pick returns the cheapest of some endpoints; equals are drawn by lot. random
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -236,7 +236,7 @@
 		if !allowed(d.q, e.region) || (e.conns >= most && len(e.idle) == 0) {
 			continue
 		}
-		if d.room && memoryShare(e, d.q) > roomShare {
+		if d.copied && (e.region != d.from.Region || memoryShare(e, d.q) > roomShare) {
 			continue
 		}
 		out = append(out, e)
