Recover sooner after everything was dark

Entry instances waited a second for opening packets that were lost while control was dark, control refused announcements until somebody watched, and the first election waited its full timeout.

--- a/internal/agreement/core.go
+++ b/internal/agreement/core.go
@@ -126,8 +126,10 @@
 			}
 		}
 	}
-	c.resetElectionTimer()
 	c.settleRole()
+	// A node that has just started hears a leader within a heartbeat interval
+	// if there is one; pre-votes keep an early candidate from disturbing it.
+	c.electionDeadline = c.now.Add(2*c.cfg.HeartbeatInterval + time.Duration(c.rand.Int64N(int64(c.cfg.ElectionTimeout))))
 	return c, nil
 }
 
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -20,9 +20,9 @@
 	// pollSlack is added to pollWait before a poll counts as lost.
 	pollSlack = 600 * time.Millisecond
 	// retryPause follows a failed poll.
-	retryPause = 150 * time.Millisecond
+	retryPause = 100 * time.Millisecond
 	// maxRetryPause bounds the pause while a control instance stays away.
-	maxRetryPause = 500 * time.Millisecond
+	maxRetryPause = 250 * time.Millisecond
 	// dropAfter is how long a control instance that is no longer listed is
 	// still polled.
 	dropAfter = 10 * time.Second
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -17,7 +17,10 @@
 
 // Bounds of the control instance's calls.
 const (
-	maxWait       = 2 * time.Second
+	maxWait = 2 * time.Second
+	// startGrace is how long after its start an instance takes announcements
+	// although no other instance watches it yet.
+	startGrace    = 1500 * time.Millisecond
 	sweepInterval = 200 * time.Millisecond
 	relayTimeout  = 400 * time.Millisecond
 	// confirmTimeout bounds how long an acknowledgement waits for instances
@@ -46,6 +49,8 @@
 	peers    *http.Client
 	logger   zerolog.Logger
 	metrics  tally.Scope
+	now      func() time.Time
+	started  time.Time
 }
 
 // ServerConfig holds what a control instance needs.
@@ -68,7 +73,7 @@
 func NewServer(c ServerConfig) *Server {
 	return &Server{
 		log: c.Log, machine: c.Machine, epoch: c.Epoch, self: c.Address, peers: c.Peers,
-		logger: c.Logger, metrics: c.Metrics,
+		logger: c.Logger, metrics: c.Metrics, now: c.Now, started: c.Now(),
 		registry: NewRegistry(c.Interval, c.Now),
 		watchers: NewWatchers(c.Now),
 	}
@@ -143,7 +148,7 @@
 		relayed := s.relay(a)
 		return s.confirm(ctx, number, relayed)
 	}
-	if _, live, _ := s.watchers.Seen(0); live == 0 && !s.inContact() {
+	if _, live, _ := s.watchers.Seen(0); live == 0 && !s.inContact() && s.now().After(s.started.Add(startGrace)) {
 		return resultcode.Newf(resultcode.ControlUnavailable, "no instance watches this one")
 	}
 	return nil
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -31,6 +31,8 @@
 	// Entries are the instances that share the targets, by name, as far as any
 	// control instance lists them.
 	Entries map[string]Watcher
+
+	serving map[string]bool // services with a usable target
 }
 
 // Sharers is the number of instances that share the targets; at least 1.
@@ -41,6 +43,9 @@
 	return !t.State.leaving() && !v.OutOfService[t.FailureDomain]
 }
 
+// Serves reports whether any target of a service may get new work.
+func (v *View) Serves(service string) bool { return v.serving[service] }
+
 // Holder keeps the newest view and merges what control instances send. The
 // replicated part never goes back: an older index is ignored.
 type Holder struct {
@@ -93,6 +98,12 @@
 }
 
 func (h *Holder) replace(next *View) {
+	next.serving = map[string]bool{}
+	for _, t := range next.Targets {
+		if next.Usable(t) {
+			next.serving[t.Service] = true
+		}
+	}
 	h.view = next
 	close(h.changed)
 	h.changed = make(chan struct{})
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -214,13 +214,16 @@
 // retryPauses tell a caller when to come back after a refusal.
 const (
 	pauseNoTarget   = 300 * time.Millisecond
+	pauseNoManifest = 500 * time.Millisecond
 	pauseOverloaded = 700 * time.Millisecond
 )
 
 func retryAfter(c resultcode.Code) time.Duration {
 	switch c {
-	case resultcode.NoTarget, resultcode.ControlUnavailable:
+	case resultcode.NoTarget:
 		return pauseNoTarget
+	case resultcode.ControlUnavailable:
+		return pauseNoManifest
 	case resultcode.Overloaded, resultcode.RetryBudget:
 		return pauseOverloaded
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -30,6 +30,9 @@
 	maxBufferedBody = 4 << 20
 	// defaultDeadline applies to requests that name none.
 	defaultDeadline = time.Minute
+	// startWait bounds the wait for the first manifest and for a first target
+	// of a service.
+	startWait = 400 * time.Millisecond
 	// deadlineMargin is kept back from what a target is told, so that its own
 	// timeout comes before the caller's.
 	deadlineMargin = 20 * time.Millisecond
@@ -189,7 +192,7 @@
 func (f *Forwarder) accept(r *http.Request, arrived time.Time) (*request, func(), error) {
 	none := func() {}
 	q := &request{id: r.Header.Get(f.config.Headers.RequestID), method: r.Method, uri: r.RequestURI, header: r.Header, arrived: arrived}
-	view, _ := f.config.Holder.View()
+	view := f.awaitView(r.Context(), func(v *fleet.View) bool { return v.Manifest != nil })
 	if view.Manifest == nil {
 		return q, none, resultcode.Newf(resultcode.ControlUnavailable, "no manifest yet")
 	}
@@ -204,6 +207,29 @@
 	return q, release, err
 }
 
+// awaitView returns the newest view, if need be after a short wait until ok
+// holds. It answers the second after a start: what is missing arrives sooner
+// than a refused caller could come back.
+func (f *Forwarder) awaitView(ctx context.Context, ok func(*fleet.View) bool) *fleet.View {
+	view, changed := f.config.Holder.View()
+	if ok(view) {
+		return view
+	}
+	timeout := time.NewTimer(startWait)
+	defer timeout.Stop()
+	for !ok(view) {
+		select {
+		case <-changed:
+			view, changed = f.config.Holder.View()
+		case <-timeout.C:
+			return view
+		case <-ctx.Done():
+			return view
+		}
+	}
+	return view
+}
+
 // route finds the route, the client account and the service.
 func (f *Forwarder) route(q *request, r *http.Request, m *manifest.Index) error {
 	path, _, _ := strings.Cut(q.uri, "?")
@@ -230,6 +256,7 @@
 		return resultcode.Newf(resultcode.NoTarget, "the route's service is not known")
 	}
 	q.service = service
+	f.awaitView(r.Context(), func(v *fleet.View) bool { return v.Serves(service.Name) })
 	q.priority = route.Priority
 	if q.account != nil && q.account.HasPriority {
 		q.priority = q.account.Priority
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -14,8 +14,10 @@
 
 // Bounds of a silent connection.
 const (
-	// DialTimeout bounds the time to connect.
-	DialTimeout = time.Second
+	// DialTimeout bounds the time to connect. It covers the longest round trip
+	// many times over; an opening packet that was lost is sent again by the
+	// next attempt sooner than by the kernel, which waits a second.
+	DialTimeout = 350 * time.Millisecond
 	// UserTimeout is how long sent data may stay unacknowledged.
 	UserTimeout = 1500 * time.Millisecond
 	// keepAliveIdle and keepAliveInterval pace the probes of an idle
