--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -88,9 +88,10 @@
 
 // Forwarder serves callers.
 type Forwarder struct {
-	config Config
-	table  *table
-	budget *budget
+	config   Config
+	table    *table
+	observed *observer
+	budget   *budget
 
 	mu       sync.Mutex
 	stopping bool
@@ -99,11 +100,12 @@
 
 // New returns a forwarder.
 func New(c Config) *Forwarder {
-	return &Forwarder{config: c, table: newTable(c.Self, c.Regions), budget: newBudget(c.Budget)}
+	return &Forwarder{config: c, table: newTable(c.Self, c.Regions), budget: newBudget(c.Budget), observed: newObserver(c.Metrics)}
 }
 
 // Run keeps the targets up to date until ctx ends.
 func (f *Forwarder) Run(ctx context.Context) {
+	go f.observed.run(ctx)
 	for {
 		view, changed := f.config.Holder.View()
 		f.table.sync(view, time.Now())
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -67,7 +67,7 @@
 		o := f.attempt(ctx, l, q, &a)
 		f.note(q, &a, o)
 		if o.succeeded() {
-			f.config.Metrics.Counter("forward.answered").Inc(1)
+			f.answered(q, &a, o)
 			return f.pass(w, o)
 		}
 		if o.rest != nil {
@@ -79,6 +79,17 @@
 	}
 }
 
+// answered notes a whole answer.
+func (f *Forwarder) answered(q *request, a *attempts, o *outcome) {
+	after := time.Since(q.arrived)
+	f.config.Metrics.Counter("forward.answered").Inc(1)
+	f.observed.record(answerLatency, after)
+	if a.sends > 1 || f.observed.sampled() {
+		f.config.Logger.Info().Str("request", q.id).Str("route", q.route.Name).Str("target", o.lease.endpoint.id).
+			Int("status", o.status).Int("sends", a.sends).Dur("after", after).Msg("answered")
+	}
+}
+
 // succeeded reports whether the outcome is a whole answer other than a failure
 // of the target.
 func (o *outcome) succeeded() bool {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -24,6 +24,7 @@
 
 	started   bool  // the head has been passed on
 	lastEvent int64 // id of the last event that was passed on
+	lastAt    time.Time
 	attempts  attempts
 	moves     int
 }
@@ -94,6 +95,7 @@
 // next place for one that was moved, and else how the leg ended.
 func (r *run) leg(ctx context.Context, l *lease, from *resume) (*outcome, *handoff) {
 	defer l.release()
+	r.logPlaced(l, from)
 	ans, err := r.f.send(ctx, l, r.q, from)
 	if err != nil {
 		return &outcome{lease: l, err: err}, nil
@@ -122,11 +124,24 @@
 	if err == nil {
 		r.f.table.succeeded(l.endpoint)
 		r.f.config.Metrics.Counter("forward.streams_whole").Inc(1)
+		r.f.config.Logger.Info().Str("request", r.q.id).Str("target", l.endpoint.id).Int64("events", r.lastEvent).
+			Int("moves", r.moves).Dur("after", time.Since(r.q.arrived)).Msg("stream whole")
 		return nil, nil
 	}
 	return &outcome{lease: l, status: http.StatusOK, err: err}, nil
 }
 
+// logPlaced writes where the stream runs, with the load that decided it.
+func (r *run) logPlaced(l *lease, from *resume) {
+	there, age := r.f.table.standing(l.endpoint)
+	line := r.f.config.Logger.Info().Str("request", r.q.id).Str("route", r.q.route.Name).Str("target", l.endpoint.id).
+		Int("requests", there.Requests).Int("tokens", there.Tokens).Dur("announced", age)
+	if from != nil {
+		line = line.Int64("last_event", from.lastEvent).Str("copy", from.copyFrom)
+	}
+	line.Msg("placed")
+}
+
 // relay passes whole events on, each once and in order, until the stream ends.
 // A nil error means that the target ended it.
 func (r *run) relay(body io.Reader) error {
@@ -149,6 +164,13 @@
 		if id > 0 && r.lastEvent > 0 && id != r.lastEvent+1 {
 			return fmt.Errorf("%w: %d follows %d", errGap, id, r.lastEvent)
 		}
+		now := time.Now()
+		if r.started {
+			r.f.observed.record(gapLatency, now.Sub(r.lastAt))
+		} else {
+			r.f.observed.record(firstLatency, now.Sub(r.q.arrived))
+		}
+		r.lastAt = now
 		r.start()
 		if _, err := r.out.Write(raw); err != nil {
 			return errCallerGone
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -140,7 +140,7 @@
 
 func (t *table) update(e *endpoint, target *fleet.Target, now time.Time) {
 	usable := t.view.Usable(target)
-	if usable != e.usable || (e.target != nil && e.target.State != target.State) {
+	if e.target != nil && (usable != e.usable || e.target.State != target.State) {
 		t.news = append(t.news, e)
 	}
 	if e.target != nil && target.Sequence > e.target.Sequence {
@@ -318,6 +318,14 @@
 	e.failures++
 }
 
+// standing returns what all instances have in flight at an endpoint, and the
+// age of its newest announcement that is known here.
+func (t *table) standing(e *endpoint) (Load, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return e.total(), time.Since(e.target.Heard)
+}
+
 // succeeded notes a whole answer.
 func (t *table) succeeded(e *endpoint) {
 	t.mu.Lock()
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -85,6 +85,9 @@
 			err = s.start(ctx, address, handler, nil)
 		}
 	}
+	if err == nil && c.Metrics != "" {
+		err = s.start(ctx, c.Metrics, env.MetricsHandler(out), nil)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -81,6 +81,9 @@
 	if err == nil {
 		err = s.start(ctx, c.Ready, c.ReadyHandler(f.Ready), nil)
 	}
+	if err == nil && c.Metrics != "" {
+		err = s.start(ctx, c.Metrics, env.MetricsHandler(out), nil)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -38,6 +38,8 @@
 	MemoryBytes int64
 	// Grace is the time between the signal to stop and the end of the process.
 	Grace time.Duration
+	// Metrics is the address of the metrics page; empty: none.
+	Metrics string
 	// Reload returns the seeds of the present settings.
 	Reload func() ([]string, error)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -41,12 +41,17 @@
 	close  io.Closer
 }
 
+// logTimeFormat gives log lines milliseconds, so that those of several
+// processes can be put in order.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewEnv builds the environment for a checked configuration.
 func NewEnv(c Config, out io.Writer) (*Env, error) {
 	level, err := zerolog.ParseLevel(c.LogLevel)
 	if err != nil || c.LogLevel == "" {
 		level = zerolog.InfoLevel
 	}
+	zerolog.TimeFieldFormat = logTimeFormat
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("instance", c.Name).Logger()
 	clock := timeline.NewClock(time.Now)
 	recorder, err := timeline.NewRecorder(clock, c.Name, c.EventsDir)
