agreement: groups that grow from seeds are mended only while one more loss is borne

Cause: the new simulation of growing groups came to a standstill: a silent voter with an intact disk was removed while another one was just being lost, and a removed voter or a newcomer that reached no leader was never admitted. Change: removal only if the rest could lose one more, voters are added first; members introduce newcomers and former voters to the leader. Tests: TestSimulationOfGrowth, TestGroupGrowsFromSeeds, TestReplacedInstanceTakesTheVote.

--- a/internal/agreement/bootstrap.go
+++ b/internal/agreement/bootstrap.go
@@ -174,8 +174,8 @@
 		// It has no log but its vote may be needed to elect a leader.
 		c.sendForm(m.From)
 	}
-	if c.role == Leader && c.cfg.AdmitLearners && (m.Group == "" || m.Group == c.group()) {
-		c.admit(m.From)
+	if m.Group == "" || m.Group == c.group() {
+		c.introduce(m.From, m.Forced)
 	}
 }
 
--- a/internal/agreement/config.go
+++ b/internal/agreement/config.go
@@ -136,6 +136,7 @@
 		HeartbeatInterval: c.HeartbeatInterval,
 		ReplaceAfter:      c.ReplaceAfter,
 		PromoteLearners:   c.PromoteLearners,
+		RemoveAfter:       defaultRemoveAfter,
 		AdmitLearners:     !c.RefuseUnknown,
 		MaxEntryBytes:     maxEntryBytes,
 		MaxInFlight:       maxInFlightBytes,
--- a/internal/agreement/core.go
+++ b/internal/agreement/core.go
@@ -25,6 +25,9 @@
 	ReplaceAfter time.Duration
 	// PromoteLearners lets the leader grow and mend the group by itself.
 	PromoteLearners bool
+	// RemoveAfter is how long a voter must be silent before a group that mends
+	// itself drops it.
+	RemoveAfter time.Duration
 	// AdmitLearners lets the leader add nodes that ask for entry.
 	AdmitLearners bool
 	MaxEntryBytes int // of one append message
@@ -285,7 +288,9 @@
 		p.member.Address = m.From.Address
 	}
 	if m.Type == MsgPreVote {
-		c.readmit(m.From)
+		if c.cfg.PromoteLearners {
+			c.introduce(m.From, false)
+		}
 		c.onPreVote(m)
 		return nil
 	}
--- a/internal/agreement/grow.go
+++ b/internal/agreement/grow.go
@@ -8,32 +8,50 @@
 	maxAutoVoters = 5
 	// minAutoVoters is the size below which no silent voter is removed.
 	minAutoVoters = 3
-	// removeAfter is how long a voter must be silent before it is removed. It
-	// exceeds restarts and short partitions; a voter that comes back later
-	// joins again as a learner.
-	removeAfter = 8 * time.Second
+	// defaultRemoveAfter is how long a voter must be silent before it is
+	// removed. It exceeds restarts and short partitions; a voter that comes
+	// back later joins again as a learner.
+	defaultRemoveAfter = 8 * time.Second
 )
 
 // growMembers makes one change towards a group of maxAutoVoters voters that
 // are all alive. Each change moves one voter, so that any two successive
-// majorities share a member; a removal is proposed only while a majority of
-// the remaining voters answers.
+// majorities share a member.
+//
+// A silent voter may still hold its disk while another one that counts as
+// alive is just being lost. It is removed only if the rest could lose one more
+// and still decide; until then voters are added in its place.
 func (c *core) growMembers() {
 	voters := c.members().voters()
-	if len(voters) > minAutoVoters {
-		for _, v := range voters {
-			if v.Incarnation != c.cfg.Self.Incarnation && c.silentFor(v) >= removeAfter {
-				_, _ = c.remove(v.Incarnation) // refused without a quorum; tried again
-				return
-			}
+	var silent []Member
+	for _, v := range voters {
+		if v.Incarnation != c.cfg.Self.Incarnation && c.silentFor(v) >= c.cfg.RemoveAfter {
+			silent = append(silent, v)
 		}
 	}
-	if len(voters) < maxAutoVoters {
+	if len(silent) > 0 && len(voters) > minAutoVoters && c.spares(len(voters)) {
+		_, _ = c.remove(silent[0].Incarnation) // refused while a change is open; tried again
+		return
+	}
+	if len(voters) < min(maxAutoVoters+len(silent), maxVoters) {
 		c.promoteOne()
 	}
 	c.dropLostLearners()
 }
 
+// spares reports whether, with one silent voter of n removed, one more could
+// be lost.
+func (c *core) spares(n int) bool {
+	alive := 0
+	for _, v := range c.members().voters() {
+		p := c.peers[v.Incarnation]
+		if v.Incarnation == c.cfg.Self.Incarnation || (p != nil && c.now.Sub(p.contact) < c.cfg.ElectionTimeout) {
+			alive++
+		}
+	}
+	return alive > c.rules.quorum(n-1)
+}
+
 func (c *core) promoteOne() {
 	for _, x := range c.members().Members {
 		if !x.Voter && !x.Diskless && c.caughtUp(x.Incarnation) {
@@ -50,18 +68,27 @@
 		return
 	}
 	for _, x := range c.members().Members {
-		if !x.Voter && c.silentFor(x) >= 4*removeAfter {
+		if !x.Voter && c.silentFor(x) >= 4*c.cfg.RemoveAfter {
 			_, _ = c.remove(x.Incarnation)
 			return
 		}
 	}
 }
 
-// readmit takes a former member back that does not know of its removal: its
-// log still lists it as a voter, so it asks for votes.
-func (c *core) readmit(x Member) {
-	if !c.cfg.PromoteLearners || c.role != Leader || x.Diskless {
+// introduce brings a node that is no member to the leader: one that asks for
+// entry at another member, or a former voter that does not know of its removal
+// and asks for votes. An introduction is passed on once only, since leaders
+// may be known wrongly.
+func (c *core) introduce(x Member, passedOn bool) {
+	if _, ok := c.members().find(x.Incarnation); ok || !c.cfg.AdmitLearners {
 		return
 	}
-	c.admit(x)
+	switch {
+	case c.role == Leader:
+		c.admit(x)
+	case !passedOn && c.leader.Address != "" && c.leader.Incarnation != c.cfg.Self.Incarnation:
+		c.sendEarly(Message{
+			Type: MsgHello, Group: c.group(), From: x, To: c.leader.Incarnation, ToAddress: c.leader.Address, Forced: true,
+		})
+	}
 }
--- a/internal/agreement/sim_test.go
+++ b/internal/agreement/sim_test.go
@@ -122,6 +122,7 @@
 	made      int
 	skewed    bool // one node's state machine differs
 	quiet     bool // no new calls
+	grows     bool // the group grows and mends itself
 
 	broken     error // first broken invariant
 	leaders    map[uint64]string
@@ -196,7 +197,13 @@
 		return
 	}
 	config, _ := Config{Name: n.name, Address: n.name, Bootstrap: w.bootstrap, KeepEntries: 8, ReplaceAfter: time.Second}.withDefaults()
+	if w.grows {
+		w.growing(n, &config)
+	}
 	cc := config.core(self)
+	if w.grows {
+		cc.RemoveAfter = 900 * time.Millisecond
+	}
 	cc.ChunkBytes, cc.MaxEntryBytes, cc.MaxInFlight = 64, 200, 400
 	c, err := newCore(cc, w.rng.Uint64(), w.now, state)
 	if err != nil {
