--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,41 @@
+package directory
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/fleet"
+)
+
+// Guards against callers that are sent to another region while their own has
+// instances, and against answers with a single address that can fail.
+func TestNearestInstances(t *testing.T) {
+	live := []fleet.Watcher{
+		{Name: "1", Region: "r", FailureDomain: "r-a", Address: "1"},
+		{Name: "2", Region: "r", FailureDomain: "r-a", Address: "2"},
+		{Name: "3", Region: "r", FailureDomain: "r-b", Address: "3"},
+		{Name: "4", Region: "s", FailureDomain: "s-a", Address: "4"},
+	}
+	for _, c := range []struct {
+		caller Caller
+		want   []string
+	}{
+		{Caller{"r", "r-a"}, []string{"1", "2"}},
+		{Caller{"r", "r-b"}, []string{"1", "2", "3"}},
+		{Caller{"s", "s-a"}, []string{"4"}},
+		{Caller{"t", "t-a"}, []string{"1", "2", "3", "4"}},
+	} {
+		assert.DeepEqual(t, Addresses(live, c.caller), c.want)
+	}
+	assert.Assert(t, len(Addresses(nil, Caller{"r", "r-a"})) == 0)
+}
+
+// Guards against answers of unbounded size.
+func TestAnswerIsBounded(t *testing.T) {
+	live := make([]fleet.Watcher, 200)
+	for i := range live {
+		live[i] = fleet.Watcher{FailureDomain: "a", Address: "x"}
+	}
+	assert.Equal(t, len(Addresses(live, Caller{FailureDomain: "a"})), maxAddresses)
+}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -204,7 +204,7 @@
 	for _, a := range resp.GetAnnouncements() {
 		news = append(news, announcementFromProto(a))
 	}
-	if err := f.holder.merge(state, news); err != nil {
+	if err := f.holder.Merge(state, news); err != nil {
 		return err
 	}
 	p.epoch, p.cursor = resp.GetEpoch(), resp.GetCursor()
--- /dev/null
+++ b/internal/fleet/machine_test.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func apply(t *testing.T, m *Machine, index uint64, command []byte, err error) {
+	t.Helper()
+	assert.NilError(t, err)
+	assert.Assert(t, m.Apply(index, command) == nil)
+}
+
+// Guards against a manifest that goes back when an older change, or other
+// content under the version held, is applied later.
+func TestManifestNeverGoesBack(t *testing.T) {
+	m := NewMachine()
+	c, err := ManifestChange(7, []byte("seven"))
+	apply(t, m, 1, c, err)
+	c, err = ManifestChange(5, []byte("five"))
+	apply(t, m, 2, c, err)
+	c, err = ManifestChange(7, []byte("other"))
+	apply(t, m, 3, c, err)
+	s, _ := m.State()
+	assert.Equal(t, string(s.Manifest), "seven")
+	assert.Equal(t, s.Index, uint64(1))
+}
+
+// Guards against state that is lost or changed by a snapshot.
+func TestSnapshotHoldsTheWholeState(t *testing.T) {
+	m := NewMachine()
+	c, err := ManifestChange(7, []byte("seven"))
+	apply(t, m, 4, c, err)
+	for i, d := range []string{"b", "a", "b"} {
+		c, err = DomainChange(d, false)
+		apply(t, m, uint64(5+i), c, err)
+	}
+	data, err := m.Snapshot()
+	assert.NilError(t, err)
+	other := NewMachine()
+	assert.NilError(t, other.Restore(data))
+	want, _ := m.State()
+	got, _ := other.State()
+	assert.DeepEqual(t, got, want)
+	assert.DeepEqual(t, got.OutOfService, []string{"a", "b"})
+	c, err = DomainChange("a", true)
+	apply(t, other, 9, c, err)
+	got, _ = other.State()
+	assert.DeepEqual(t, got.OutOfService, []string{"b"})
+}
+
+// Guards against a process that ends, or a change that is applied in part, on
+// bytes that do not decode.
+func TestMalformedCommandChangesNothing(t *testing.T) {
+	m := NewMachine()
+	before, _ := m.State()
+	assert.Assert(t, m.Apply(1, []byte{0xff, 0xff}) != nil)
+	assert.Assert(t, m.Restore([]byte{0xff, 0xff}) != nil)
+	after, _ := m.State()
+	assert.Equal(t, before, after)
+}
--- /dev/null
+++ b/internal/fleet/registry_test.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const testInterval = time.Second
+
+type testClock struct{ at time.Time }
+
+func (c *testClock) now() time.Time { return c.at }
+
+func newTestRegistry() (*Registry, *testClock) {
+	c := &testClock{at: time.Unix(1000, 0)}
+	return NewRegistry(testInterval, c.now), c
+}
+
+func ready(id string, born int64, sequence uint64) Announcement {
+	return Announcement{ID: id, Service: "s", Address: "10.0.0.1:80", FailureDomain: "a", Born: born, Sequence: sequence, Slots: 4, State: Ready}
+}
+
+func draining(a Announcement) Announcement {
+	a.State = Draining
+	return a
+}
+
+func stateOf(t *testing.T, r *Registry, id string) Announcement {
+	t.Helper()
+	all, _, _ := r.Since(0)
+	for _, a := range all {
+		if a.ID == id {
+			return a
+		}
+	}
+	t.Fatalf("%s is not known", id)
+	return Announcement{}
+}
+
+// Guards against a target that leaves and gets work again because an earlier
+// announcement arrives late.
+func TestLateAnnouncementDoesNotBringBack(t *testing.T) {
+	r, _ := newTestRegistry()
+	r.Announce(ready("i1", 5, 3))
+	r.Announce(draining(ready("i1", 5, 4)))
+	r.Announce(ready("i1", 5, 9))
+	assert.Equal(t, stateOf(t, r, "i1").State, Draining)
+	r.Announce(Announcement{ID: "i1", State: Gone})
+	r.Announce(ready("i1", 5, 10))
+	assert.Equal(t, stateOf(t, r, "i1").State, Gone)
+	// The same id with a later start is another incarnation.
+	r.Announce(ready("i1", 6, 1))
+	assert.Equal(t, stateOf(t, r, "i1").State, Ready)
+	r.Announce(draining(ready("i1", 5, 99)))
+	assert.Equal(t, stateOf(t, r, "i1").State, Ready)
+}
+
+// Guards against work for a target whose address another one has taken over,
+// and against the late announcement of the former holder.
+func TestAddressHasOneHolder(t *testing.T) {
+	r, _ := newTestRegistry()
+	r.Announce(ready("old", 5, 3))
+	r.Announce(ready("new", 9, 1))
+	assert.Equal(t, stateOf(t, r, "old").State, Gone)
+	r.Announce(ready("old", 5, 4))
+	assert.Equal(t, stateOf(t, r, "old").State, Gone)
+	assert.Equal(t, stateOf(t, r, "new").State, Ready)
+}
+
+// Guards against a crashed target that stays known as ready, and against one
+// late announcement that makes it silent.
+func TestSilenceIsNoticed(t *testing.T) {
+	r, c := newTestRegistry()
+	r.Announce(ready("i1", 5, 1))
+	c.at = c.at.Add(2 * testInterval)
+	r.Sweep()
+	assert.Equal(t, stateOf(t, r, "i1").State, Ready)
+	c.at = c.at.Add(3 * testInterval)
+	r.Sweep()
+	assert.Equal(t, stateOf(t, r, "i1").State, Silent)
+	r.Announce(ready("i1", 5, 2))
+	assert.Equal(t, stateOf(t, r, "i1").State, Ready)
+}
+
+// Guards against a message for each announcement that says nothing new, and
+// against a reader that misses a change.
+func TestOnlyNewsIsPublished(t *testing.T) {
+	r, c := newTestRegistry()
+	r.Announce(ready("i1", 5, 1))
+	_, at, changed := r.Since(0)
+	r.Announce(ready("i1", 5, 2))
+	news, _, _ := r.Since(at)
+	assert.Equal(t, len(news), 0)
+	cold := ready("i1", 5, 3)
+	cold.Cold = 2 * time.Second
+	r.Announce(cold)
+	<-changed
+	c.at = c.at.Add(time.Second)
+	news, _, _ = r.Since(at)
+	assert.Equal(t, len(news), 1)
+	assert.Equal(t, news[0].Cold, time.Second, "the rest of the cold time")
+}
+
+// Guards against a table that grows without bound.
+func TestRegistryIsBounded(t *testing.T) {
+	r, c := newTestRegistry()
+	for i := range maxTargets + 1 {
+		a := ready(time.Unix(int64(i), 0).String(), 1, 1)
+		a.Address = ""
+		_, ok := r.Announce(a)
+		assert.Equal(t, ok, i < maxTargets)
+	}
+	c.at = c.at.Add(time.Hour)
+	r.Sweep() // silent
+	r.Sweep() // forgotten
+	all, _, _ := r.Since(0)
+	assert.Equal(t, len(all), 0)
+}
--- /dev/null
+++ b/internal/fleet/server_test.go
@@ -0,0 +1,209 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/agreement"
+	"github.com/endivetrack/endivetrack/internal/manifest"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// fakeLog commits at once, or refuses.
+type fakeLog struct {
+	machine *Machine
+	members []agreement.Member
+	index   uint64
+	err     error
+}
+
+func (l *fakeLog) Propose(_ context.Context, command []byte) (agreement.Applied, error) {
+	if l.err != nil {
+		return agreement.Applied{}, l.err
+	}
+	l.index++
+	return agreement.Applied{Index: l.index, Result: l.machine.Apply(l.index, command)}, nil
+}
+
+func (l *fakeLog) ReadBarrier(context.Context) (uint64, error) { return l.index, l.err }
+
+func (l *fakeLog) Status() agreement.Status { return agreement.Status{Members: l.members} }
+
+// testControl is a control instance on loopback.
+type testControl struct {
+	*Server
+	log     *fakeLog
+	address string
+	http    *httptest.Server
+}
+
+func newTestControl(t *testing.T, epoch string) *testControl {
+	machine := NewMachine()
+	c := &testControl{log: &fakeLog{machine: machine}}
+	mux := http.NewServeMux()
+	c.http = httptest.NewServer(mux)
+	t.Cleanup(c.http.Close)
+	c.address = strings.TrimPrefix(c.http.URL, "http://")
+	c.Server = NewServer(ServerConfig{
+		Log: c.log, Machine: machine, Epoch: epoch, Address: c.address, Interval: testInterval,
+		Peers: http.DefaultClient, Logger: zerolog.Nop(), Metrics: tally.NoopScope, Now: time.Now,
+	})
+	for prefix, handler := range c.Handlers() {
+		mux.Handle(prefix, handler)
+	}
+	return c
+}
+
+// decodeTest reads a document that is its own version number.
+func decodeTest(document []byte) (*manifest.Manifest, error) {
+	if string(document) == "broken" {
+		return nil, errors.New("broken")
+	}
+	return &manifest.Manifest{Version: uint64(len(document))}, nil
+}
+
+func follow(t *testing.T, name string, seeds ...string) (*Holder, *Follower) {
+	holder := NewHolder(decodeTest, time.Now)
+	f := NewFollower(Watcher{Name: name, Region: "r", FailureDomain: "a", Address: name + ":1"}, seeds, holder,
+		http.DefaultClient, zerolog.Nop(), tally.NoopScope)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return holder, f
+}
+
+// await waits until a view satisfies ok.
+func await(t *testing.T, h *Holder, ok func(*View) bool) *View {
+	t.Helper()
+	deadline := time.After(10 * time.Second)
+	for {
+		v, changed := h.View()
+		if ok(v) {
+			return v
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			t.Fatalf("the view stays at %+v", v)
+		}
+	}
+}
+
+func commitManifest(t *testing.T, c *testControl, version uint64, document string) {
+	t.Helper()
+	command, err := ManifestChange(version, []byte(document))
+	assert.NilError(t, err)
+	assert.NilError(t, c.Commit(context.Background(), command))
+}
+
+// Guards against a target that leaves and is told so before every live
+// instance knows, and against announcements that reach nobody.
+func TestLeaveIsAcknowledgedOnceKnown(t *testing.T) {
+	c := newTestControl(t, "1")
+	h, _ := follow(t, "e1", c.address)
+	ctx := context.Background()
+	assert.NilError(t, c.Announce(ctx, ready("i1", 1, 1)))
+	await(t, h, func(v *View) bool { return v.Serves("s") })
+	assert.NilError(t, c.Announce(ctx, draining(ready("i1", 1, 2))))
+	v, _ := h.View()
+	assert.Equal(t, v.Targets["i1"].State, Draining)
+	assert.Assert(t, !v.Usable(v.Targets["i1"]))
+}
+
+// Guards against an instance that is cut off from all others, takes a target's
+// leave and keeps it to itself.
+func TestLeaveIsNotAcknowledgedByAnIsolatedInstance(t *testing.T) {
+	c := newTestControl(t, "1")
+	err := c.Announce(context.Background(), draining(ready("i1", 1, 2)))
+	assert.Equal(t, resultcode.From(err).Code, resultcode.ControlUnavailable)
+}
+
+// Guards against a leave that is known at one control instance only and is
+// lost with it.
+func TestLeaveIsRelayed(t *testing.T) {
+	a, b := newTestControl(t, "1"), newTestControl(t, "2")
+	members := []agreement.Member{{Address: a.address}, {Address: b.address}}
+	a.log.members, b.log.members = members, members
+	h, _ := follow(t, "e1", b.address)
+	assert.NilError(t, a.Announce(context.Background(), draining(ready("i1", 1, 2))))
+	v := await(t, h, func(v *View) bool { return v.Targets["i1"] != nil })
+	assert.Equal(t, v.Targets["i1"].State, Draining)
+}
+
+// Guards against an instance that takes back a manifest or a failure domain
+// because a control instance that lags answers last.
+func TestStaleControlInstanceIsIgnored(t *testing.T) {
+	fresh, stale := newTestControl(t, "1"), newTestControl(t, "2")
+	commitManifest(t, stale, 1, "x")
+	fresh.log.index = 10
+	commitManifest(t, fresh, 2, "xx")
+	command, err := DomainChange("a", false)
+	assert.NilError(t, err)
+	assert.NilError(t, fresh.Commit(context.Background(), command))
+	h, _ := follow(t, "e1", fresh.address, stale.address)
+	await(t, h, func(v *View) bool { return v.OutOfService["a"] })
+	time.Sleep(3 * retryPause)
+	v, _ := h.View()
+	assert.Equal(t, v.Manifest.Version(), uint64(2))
+	assert.Assert(t, v.OutOfService["a"])
+}
+
+// Guards against callers that are sent to an instance which is about to stop,
+// or to one that is gone.
+func TestLeavingInstanceIsNotListed(t *testing.T) {
+	c := newTestControl(t, "1")
+	_, one := follow(t, "e1", c.address)
+	h, _ := follow(t, "e2", c.address)
+	await(t, h, func(v *View) bool { return len(v.Entries) == 2 })
+	one.Leave()
+	deadline := time.Now().Add(5 * time.Second)
+	for len(c.Live()) != 1 {
+		assert.Assert(t, time.Now().Before(deadline), "still listed")
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, c.Live()[0].Name, "e2")
+}
+
+// Guards against a read that a deposed leader answers from its own state.
+func TestReadNeedsTheGroup(t *testing.T) {
+	c := newTestControl(t, "1")
+	commitManifest(t, c, 1, "x")
+	c.log.err = &agreement.NotLeaderError{}
+	_, err := c.Read(context.Background())
+	assert.Assert(t, err != nil)
+}
+
+// Guards against targets that are forgotten when a control instance starts
+// anew with an empty table.
+func TestRestartedControlInstanceForgetsNoTarget(t *testing.T) {
+	holder := NewHolder(decodeTest, time.Now)
+	assert.NilError(t, holder.Merge(nil, []Announcement{ready("i1", 1, 5)}))
+	assert.NilError(t, holder.Merge(nil, nil))
+	v, _ := holder.View()
+	assert.Assert(t, v.Serves("s"))
+}
+
+// Guards against an undecodable manifest that replaces the one in force.
+func TestBrokenManifestKeepsTheFormerOne(t *testing.T) {
+	holder := NewHolder(decodeTest, time.Now)
+	assert.NilError(t, holder.Merge(&State{Index: 1, ManifestVersion: 1, Manifest: []byte("x")}, nil))
+	assert.Assert(t, holder.Merge(&State{Index: 2, ManifestVersion: 2, Manifest: []byte("broken")}, nil) != nil)
+	v, _ := holder.View()
+	assert.Equal(t, v.Manifest.Version(), uint64(1))
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -75,6 +75,12 @@
 	return h.view, h.changed
 }
 
+// Entries returns the instances that share the targets, by name.
+func (h *Holder) Entries() map[string]Watcher {
+	view, _ := h.View()
+	return view.Entries
+}
+
 // held returns the index of the replicated state and the manifest version.
 func (h *Holder) held() (index, version uint64) {
 	h.mu.Lock()
@@ -82,8 +88,8 @@
 	return h.view.Index, h.version
 }
 
-// merge takes the news of one control instance.
-func (h *Holder) merge(state *State, news []Announcement) error {
+// Merge takes the news of one control instance.
+func (h *Holder) Merge(state *State, news []Announcement) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := *h.view
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -47,12 +47,17 @@
 	}
 }
 
-// buffered reports whether more bytes have already arrived.
-func (e *eventReader) buffered() bool { return e.r.Buffered() > 0 }
+// buffered reports whether a further whole event has already arrived.
+func (e *eventReader) buffered() bool {
+	waiting, err := e.r.Peek(e.r.Buffered())
+	return err == nil && bytes.Contains(waiting, eventSeparator)
+}
+
+var eventSeparator = []byte("\n\n")
 
 // eventEnds reports whether the bytes end with an empty line.
 func eventEnds(b []byte) bool {
-	return bytes.HasSuffix(b, []byte("\n\n")) || bytes.HasSuffix(b, []byte("\n\r\n"))
+	return bytes.HasSuffix(b, eventSeparator) || bytes.HasSuffix(b, []byte("\n\r\n"))
 }
 
 // eventID returns the id of an event, or 0.
--- /dev/null
+++ b/internal/forward/fakes_test.go
@@ -0,0 +1,248 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/fleet"
+	"github.com/endivetrack/endivetrack/internal/manifest"
+)
+
+// testHeaders are names of the tests' own.
+var testHeaders = Headers{
+	RequestID: "T-Id", Deadline: "T-Deadline", Key: "T-Key", Account: "T-Account", Expect: "T-Expect", NotRun: "T-Not-Run",
+	Stamp: "T-Stamp", Priority: "T-Priority", Tokens: "T-Tokens", LengthHint: "T-Hint", CopyFrom: "T-Copy", LastEventID: "Last-Event-Id",
+	Reserved: []string{"T-Hold"},
+}
+
+// fakeTarget is a target that answers each request by a script of raw bytes.
+type fakeTarget struct {
+	id, address string
+
+	mu       sync.Mutex
+	requests []seenRequest
+	open     int
+	answer   func(r seenRequest, c net.Conn)
+}
+
+type seenRequest struct {
+	*http.Request
+	body string
+}
+
+func newFakeTarget(t *testing.T, id string, answer func(r seenRequest, c net.Conn)) *fakeTarget {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &fakeTarget{id: id, address: l.Addr().String(), answer: answer}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(c)
+		}
+	}()
+	return f
+}
+
+func (f *fakeTarget) serve(c net.Conn) {
+	f.count(1)
+	defer f.count(-1)
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		seen := seenRequest{r, string(body)}
+		f.mu.Lock()
+		f.requests = append(f.requests, seen)
+		answer := f.answer
+		f.mu.Unlock()
+		answer(seen, c)
+	}
+}
+
+func (f *fakeTarget) count(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open += n
+}
+
+func (f *fakeTarget) seen() []seenRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]seenRequest(nil), f.requests...)
+}
+
+// whole writes a whole answer to r.
+func whole(c io.Writer, r seenRequest, status int, extra, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nT-Id: %s\r\nT-Stamp: s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("T-Id"), extra, len(body), body)
+}
+
+func answers(status int, body string) func(seenRequest, net.Conn) {
+	return func(r seenRequest, c net.Conn) { whole(c, r, status, "", body) }
+}
+
+// breaks closes the connection without an answer.
+func breaks(_ seenRequest, c net.Conn) { _ = c.Close() }
+
+// refuses says that nothing ran.
+func refuses(r seenRequest, c net.Conn) { whole(c, r, 503, "T-Not-Run: 1\r\n", "") }
+
+// fixture is a forwarder with its callers' address.
+type fixture struct {
+	*Forwarder
+	url     string
+	holder  *fleet.Holder
+	engines *fakeEngines
+	targets map[string]*fakeTarget
+	version uint64
+	seq     uint64
+}
+
+func testManifest() *manifest.Manifest {
+	engine := &manifest.Engine{Slots: 4, MemoryTokens: 10_000, BytesPerToken: 1, LinkMbps: 1e6, Moves: true}
+	route := func(name string, kind manifest.Kind, service string, attempts int) manifest.Route {
+		return manifest.Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond,
+			Split: []manifest.Share{{Service: service, Weight: 1}}, MaxAttempts: attempts,
+		}
+	}
+	m := &manifest.Manifest{
+		Version: 1,
+		Routes: []manifest.Route{
+			route("read", manifest.Idempotent, "core", 2),
+			route("write", manifest.NonIdempotent, "core", 1),
+			route("long", manifest.Streaming, "llm", 1),
+			route("short", manifest.Streaming, "llm", 2),
+			route("home", manifest.Idempotent, "core", 1),
+			route("open", manifest.Idempotent, "core", 1),
+		},
+		Services: []manifest.Service{{Name: "core", MaxConns: 100}, {Name: "llm", MaxConns: 100, Engine: engine}},
+		Accounts: []manifest.ClientAccount{{Name: "account", Keys: []string{"key"}}},
+		Limits:   manifest.Limits{BodyBytes: 1000},
+	}
+	m.Routes[3].Resumable = true
+	m.Routes[4].Regions = []string{"s"}
+	m.Routes[5].Public = true
+	return m
+}
+
+func newFixture(t *testing.T, service string, targets ...*fakeTarget) *fixture {
+	f := &fixture{engines: &fakeEngines{}, targets: map[string]*fakeTarget{}}
+	f.holder = fleet.NewHolder(func([]byte) (*manifest.Manifest, error) { return testManifest(), nil }, time.Now)
+	f.Forwarder = New(Config{
+		Self: Place{Name: "e1", Region: "r", FailureDomain: "r-a"}, Regions: map[string]string{"r-a": "r", "r-b": "r", "s-a": "s"},
+		Headers: testHeaders, Engines: f.engines, Budget: BudgetConfig{Window: time.Second, Ratio: 0.2, Slack: 100},
+		Holder: f.holder, Logger: zerolog.Nop(), Metrics: tally.NoopScope, BufferBytes: 1 << 20,
+	})
+	f.take(t, fleet.State{Index: 1, ManifestVersion: 1, Manifest: []byte("x")})
+	for _, x := range targets {
+		f.announce(t, x, service, "r-a", fleet.Ready)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	server := httptest.NewServer(f)
+	t.Cleanup(func() {
+		server.Close()
+		cancel()
+		<-done
+	})
+	f.url = server.URL
+	f.settle()
+	return f
+}
+
+func (f *fixture) take(t *testing.T, s fleet.State) {
+	t.Helper()
+	assert.NilError(t, f.holder.Merge(&s, nil))
+}
+
+// announce tells the forwarder of a target.
+func (f *fixture) announce(t *testing.T, x *fakeTarget, service, domain string, state fleet.TargetState) {
+	t.Helper()
+	f.seq++
+	assert.NilError(t, f.holder.Merge(nil, []fleet.Announcement{{
+		ID: x.id, Service: service, Address: x.address, FailureDomain: domain, Born: 1, Sequence: f.seq, Slots: 4, State: state,
+	}}))
+	f.settle()
+}
+
+// settle brings the endpoints up to the view at once.
+func (f *fixture) settle() {
+	view, _ := f.holder.View()
+	f.table.sync(view, time.Now())
+}
+
+// call makes one request of a caller.
+func (f *fixture) call(t *testing.T, method, path, body string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Host = "h"
+	r.Header.Set("T-Id", "id-1")
+	r.Header.Set("T-Key", "key")
+	r.Header.Set("T-Deadline", "1500")
+	r.Header.Set("T-Tokens", "100,400")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+// fakeEngines moves runs by a script.
+type fakeEngines struct {
+	mu       sync.Mutex
+	move     func(engine, id, to string, last bool) (Copy, error)
+	released []string
+}
+
+func (e *fakeEngines) Move(_ context.Context, engine, id, to string, last bool) (Copy, error) {
+	e.mu.Lock()
+	move := e.move
+	e.mu.Unlock()
+	if move == nil {
+		return Copy{}, ErrNoRun
+	}
+	return move(engine, id, to, last)
+}
+
+func (e *fakeEngines) Release(_ context.Context, _, handle string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.released = append(e.released, handle)
+	return nil
+}
--- /dev/null
+++ b/internal/forward/plain_test.go
@@ -0,0 +1,253 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/fleet"
+)
+
+// Guards against a request or an answer that is changed on its way.
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	x := newFakeTarget(t, "i1", func(r seenRequest, c net.Conn) {
+		whole(c, r, 201, "X-Own: a\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n", "answer")
+	})
+	f := newFixture(t, "core", x)
+	resp, body, err := f.call(t, "POST", "/write/a%2Fb/?q=%20x", "hello", "X-Mine", "m", "T-Hold", "h", "T-Account", "forged", "T-Expect", "forged")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 201)
+	assert.Equal(t, body, "answer")
+	assert.Equal(t, resp.Header.Get("X-Own"), "a")
+	assert.Equal(t, resp.Header.Get("X-Hop"), "")
+	assert.Equal(t, resp.Header.Get("T-Stamp"), "s")
+	got := x.seen()[0]
+	assert.Equal(t, got.RequestURI, "/write/a%2Fb/?q=%20x")
+	assert.Equal(t, got.Host, "h")
+	assert.Equal(t, got.body, "hello")
+	assert.Equal(t, got.Header.Get("X-Mine"), "m")
+	assert.Equal(t, got.Header.Get("T-Hold"), "", "reserved for the system")
+	assert.DeepEqual(t, got.Header.Values("T-Account"), []string{"account"})
+	assert.DeepEqual(t, got.Header.Values("T-Expect"), []string{"i1"})
+	assert.Equal(t, got.Header.Get("T-Key"), "", "the key stays here")
+	assert.Equal(t, got.Header.Get("T-Id"), "id-1")
+}
+
+// Guards against a target that works longer than its caller waits.
+func TestDeadlineIsPassedOn(t *testing.T) {
+	x := newFakeTarget(t, "i1", answers(200, ""))
+	f := newFixture(t, "core", x)
+	for _, c := range []struct{ sent, most string }{{"700", "700"}, {"30000", "2000"}} {
+		_, _, err := f.call(t, "GET", "/read/", "", "T-Deadline", c.sent)
+		assert.NilError(t, err)
+		got := x.seen()[len(x.seen())-1].Header.Get("T-Deadline")
+		var left, most int
+		_, err = fmt.Sscan(got+" "+c.most, &left, &most)
+		assert.NilError(t, err)
+		assert.Assert(t, left <= most && left > most-400, "%d of %d ms", left, most)
+	}
+}
+
+// Guards against a repeatable request that fails although another target would
+// serve it.
+func TestRepeatableRequestIsTriedElsewhere(t *testing.T) {
+	for name, first := range map[string]func(seenRequest, net.Conn){
+		"failure": answers(500, "bad"), "no answer": breaks, "refusal": refuses,
+		"truncated": func(r seenRequest, c net.Conn) { head(c, r, 100); _ = c.Close() },
+		"no stamp": func(r seenRequest, c net.Conn) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: id-1\r\nContent-Length: 0\r\n\r\n")
+		},
+		"encoded":      func(r seenRequest, c net.Conn) { whole(c, r, 200, "Content-Encoding: gzip\r\n", "x") },
+		"not a header": func(_ seenRequest, c net.Conn) { fmt.Fprintf(c, "garbage\r\n\r\n") },
+		"mute":         func(seenRequest, net.Conn) { time.Sleep(time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tried atomic.Bool
+			script := func(r seenRequest, c net.Conn) {
+				if !tried.Swap(true) {
+					first(r, c)
+					return
+				}
+				answers(200, "good")(r, c)
+			}
+			f := newFixture(t, "core", newFakeTarget(t, "i1", script), newFakeTarget(t, "i2", script))
+			resp, body, err := f.call(t, "GET", "/read/", "")
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, 200)
+			assert.Equal(t, body, "good")
+		})
+	}
+}
+
+// head announces more body than follows.
+func head(c io.Writer, r seenRequest, length int) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Stamp: s\r\nContent-Length: %d\r\n\r\npart", r.Header.Get("T-Id"), length)
+}
+
+// Guards against a write that runs twice, and against a status that says it
+// has not run although it may have.
+func TestWriteIsNeverRepeated(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer func(seenRequest, net.Conn)
+		status int
+	}{
+		"no answer":               {breaks, 502},
+		"truncated":               {func(r seenRequest, c net.Conn) { head(c, r, 100); _ = c.Close() }, 502},
+		"failure of the target":   {answers(500, "bad"), 500},
+		"unproven promise":        {answers(503, ""), 502},
+		"answer after the caller": {func(seenRequest, net.Conn) { time.Sleep(3 * time.Second) }, 504},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, y := newFakeTarget(t, "i1", c.answer), newFakeTarget(t, "i2", c.answer)
+			f := newFixture(t, "core", x, y)
+			resp, _, err := f.call(t, "POST", "/write/", "pay", "T-Deadline", "600")
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, c.status)
+			assert.Equal(t, len(x.seen())+len(y.seen()), 1)
+		})
+	}
+}
+
+// Guards against a write that is lost although its target says that it has not
+// run, and against a refusal without a time to come back.
+func TestRefusedWriteGoesElsewhere(t *testing.T) {
+	x, y := newFakeTarget(t, "i1", refuses), newFakeTarget(t, "i2", refuses)
+	f := newFixture(t, "core", x, y)
+	resp, _, err := f.call(t, "POST", "/write/", "pay")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Assert(t, resp.Header.Get("Retry-After") != "")
+	assert.Equal(t, len(x.seen())+len(y.seen()), 2)
+	x.mu.Lock()
+	x.answer = answers(200, "done")
+	x.mu.Unlock()
+	resp, body, err := f.call(t, "POST", "/write/", "pay")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.Equal(t, body, "done")
+}
+
+// Guards against an answer to another request that reaches the caller, and
+// against a connection that is used on although bytes follow an answer.
+func TestForeignBytesStayAway(t *testing.T) {
+	x := newFakeTarget(t, "i1", func(r seenRequest, c net.Conn) {
+		other := r
+		other.Request = r.Clone(r.Context())
+		other.Header.Set("T-Id", "id-0")
+		var b strings.Builder
+		whole(&b, other, 200, "", "foreign")
+		whole(&b, r, 200, "", "mine")
+		whole(&b, r, 200, "", "again")
+		_, _ = io.WriteString(c, b.String())
+	})
+	f := newFixture(t, "core", x)
+	for range 3 {
+		_, body, err := f.call(t, "POST", "/write/", "")
+		assert.NilError(t, err)
+		assert.Equal(t, body, "mine")
+	}
+}
+
+// Guards against a key, a home or a path that is not honoured.
+func TestWhoMayCallWhat(t *testing.T) {
+	x := newFakeTarget(t, "i1", answers(200, ""))
+	f := newFixture(t, "core", x)
+	for path, c := range map[string]struct {
+		key    string
+		status int
+	}{
+		"/read/":  {"unknown", 401},
+		"/read":   {"key", 404},
+		"/none/":  {"key", 404},
+		"/home/":  {"key", 503}, // the only target is in another region
+		"/open/x": {"", 200},
+	} {
+		resp, _, err := f.call(t, "GET", path, "", "T-Key", c.key)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, c.status, path)
+		assert.Equal(t, resp.Header.Get("T-Id"), "id-1")
+	}
+	assert.Equal(t, len(x.seen()), 1)
+	resp, _, err := f.call(t, "POST", "/write/", strings.Repeat("x", 1001))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 413)
+}
+
+// Guards against new work for a target that leaves, and for a failure domain
+// that is out of service.
+func TestNoWorkForTargetsThatAreOut(t *testing.T) {
+	x, y := newFakeTarget(t, "i1", answers(200, "x")), newFakeTarget(t, "i2", answers(200, "y"))
+	f := newFixture(t, "core", x)
+	f.announce(t, y, "core", "r-b", fleet.Ready)
+	f.announce(t, x, "core", "r-a", fleet.Draining)
+	for range 5 {
+		_, body, err := f.call(t, "GET", "/read/", "")
+		assert.NilError(t, err)
+		assert.Equal(t, body, "y")
+	}
+	f.take(t, fleet.State{Index: 2, ManifestVersion: 1, OutOfService: []string{"r-b"}})
+	f.settle()
+	resp, _, err := f.call(t, "GET", "/read/", "")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 503)
+}
+
+// Guards against a target that works on for a caller that has left.
+func TestTargetIsCancelledWhenTheCallerLeaves(t *testing.T) {
+	reached, gone := make(chan struct{}), make(chan struct{})
+	x := newFakeTarget(t, "i1", func(_ seenRequest, c net.Conn) {
+		close(reached)
+		_, _ = bufio.NewReader(c).ReadByte()
+		close(gone)
+	})
+	f := newFixture(t, "core", x)
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	fmt.Fprintf(c, "GET /read/ HTTP/1.1\r\nHost: h\r\nT-Id: id-1\r\nT-Key: key\r\nT-Deadline: 30000\r\n\r\n")
+	<-reached
+	assert.NilError(t, c.Close())
+	select {
+	case <-gone:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the target still works half a second later")
+	}
+}
+
+// Guards against a request hidden behind chunks with a length: the connection
+// is closed before it would be read.
+func TestHiddenRequestIsNotRead(t *testing.T) {
+	x := newFakeTarget(t, "i1", answers(200, "ok"))
+	f := newFixture(t, "core", x)
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer c.Close()
+	hidden := "POST /write/ HTTP/1.1\r\nHost: h\r\nT-Id: hidden\r\nT-Key: key\r\nContent-Length: 0\r\n\r\n"
+	fmt.Fprintf(c, "POST /write/ HTTP/1.1\r\nHost: h\r\nT-Id: id-1\r\nT-Key: key\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", 5+len(hidden), hidden)
+	assert.NilError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.ReadAll(c)
+	assert.NilError(t, err)
+	for _, r := range x.seen() {
+		assert.Equal(t, r.Header.Get("T-Id"), "id-1")
+	}
+}
+
+// Guards against callers that keep their connections to an instance that is
+// about to stop.
+func TestStoppingInstanceAsksToClose(t *testing.T) {
+	f := newFixture(t, "core", newFakeTarget(t, "i1", answers(200, "")))
+	assert.Assert(t, f.Ready())
+	f.Stop()
+	assert.Assert(t, !f.Ready())
+	resp, _, err := f.call(t, "GET", "/read/", "")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Assert(t, resp.Close)
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -155,14 +155,18 @@
 			}
 			return nil
 		}
-		if err != nil {
-			return err
-		}
-		if id > 0 && id <= r.lastEvent {
+		if err == nil && id > 0 && id <= r.lastEvent {
 			continue // passed on before
 		}
-		if id > 0 && r.lastEvent > 0 && id != r.lastEvent+1 {
-			return fmt.Errorf("%w: %d follows %d", errGap, id, r.lastEvent)
+		if err == nil && id > 0 && r.lastEvent > 0 && id != r.lastEvent+1 {
+			err = fmt.Errorf("%w: %d follows %d", errGap, id, r.lastEvent)
+		}
+		if err != nil {
+			// What has arrived is the caller's, whatever comes of the stream.
+			if r.started && flush.Flush() != nil {
+				return errCallerGone
+			}
+			return err
 		}
 		now := time.Now()
 		if r.started {
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -65,7 +65,7 @@
 	})
 	self := fleet.Watcher{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain, Address: c.Callers, Internal: c.Internal}
 	follower := fleet.NewFollower(self, c.Seeds, holder, env.Peers, env.Log, env.Metrics)
-	exchange, err := loads.Listen(c.Name, c.Internal, holder, f, env.Metrics)
+	exchange, err := loads.Listen(c.Name, c.Internal, holder.Entries, f, env.Metrics)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -12,6 +12,7 @@
 	"errors"
 	"maps"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -37,17 +38,24 @@
 	maxDatagram = 32 << 10
 )
 
+// Table is where the own loads come from and those of others go.
+type Table interface {
+	Loads() map[string]forward.Load
+	SetLoads(instance string, loads map[string]forward.Load)
+}
+
 // Exchange sends and receives loads.
 type Exchange struct {
 	self    string
-	holder  *fleet.Holder
-	loads   *forward.Forwarder
+	entries func() map[string]fleet.Watcher
+	loads   Table
 	conn    *net.UDPConn
 	metrics tally.Scope
 }
 
-// Listen opens the exchange of the named instance at an address.
-func Listen(self, address string, holder *fleet.Holder, f *forward.Forwarder, metrics tally.Scope) (*Exchange, error) {
+// Listen opens the exchange of the named instance at an address. entries
+// returns the present entry instances by name.
+func Listen(self, address string, entries func() map[string]fleet.Watcher, loads Table, metrics tally.Scope) (*Exchange, error) {
 	at, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, err
@@ -56,12 +64,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange{self: self, holder: holder, loads: f, conn: conn, metrics: metrics}, nil
+	return &Exchange{self: self, entries: entries, loads: loads, conn: conn, metrics: metrics}, nil
 }
 
 // Run exchanges loads until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
-	go x.receive(ctx)
+	var receiver sync.WaitGroup
+	receiver.Go(func() { x.receive(ctx) })
+	defer receiver.Wait()
 	defer x.conn.Close()
 	var sent map[string]forward.Load
 	var sentAt time.Time
@@ -85,9 +95,8 @@
 
 // peers are the addresses of the other entry instances.
 func (x *Exchange) peers() []string {
-	view, _ := x.holder.View()
 	var out []string
-	for name, w := range view.Entries {
+	for name, w := range x.entries() {
 		if name != x.self && w.Internal != "" {
 			out = append(out, w.Internal)
 		}
--- /dev/null
+++ b/internal/loads/loads_test.go
@@ -0,0 +1,88 @@
+package loads
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/fleet"
+	"github.com/endivetrack/endivetrack/internal/forward"
+)
+
+// recorder notes the loads of other instances.
+type recorder struct {
+	own  map[string]forward.Load
+	took chan map[string]forward.Load
+}
+
+func (r *recorder) Loads() map[string]forward.Load { return r.own }
+
+func (r *recorder) SetLoads(_ string, loads map[string]forward.Load) { r.took <- loads }
+
+func listen(t *testing.T, name string, own map[string]forward.Load, peers map[string]fleet.Watcher) (*recorder, string) {
+	r := &recorder{own: own, took: make(chan map[string]forward.Load, 100)}
+	x, err := Listen(name, "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, r, tally.NoopScope)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		x.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return r, x.conn.LocalAddr().String()
+}
+
+// Guards against loads that do not arrive, and against those of a silent peer
+// that stay.
+func TestLoadsAreExchangedAndForgotten(t *testing.T) {
+	b, address := listen(t, "b", nil, nil)
+	want := map[string]forward.Load{"i1": {Requests: 2, Tokens: 300, Incoming: 1}}
+	peers := map[string]fleet.Watcher{"b": {Name: "b", Internal: address}, "a": {Name: "a", Internal: "127.0.0.1:1"}}
+	ctx, cancel := context.WithCancel(context.Background())
+	x, err := Listen("a", "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, &recorder{own: want}, tally.NoopScope)
+	assert.NilError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		x.Run(ctx)
+	}()
+	assert.DeepEqual(t, <-b.took, want)
+	cancel()
+	<-done
+	deadline := time.After(3 * forgetAfter)
+	for {
+		select {
+		case got := <-b.took:
+			if got == nil {
+				return
+			}
+		case <-deadline:
+			t.Fatal("the silent peer's load stays")
+		}
+	}
+}
+
+// Guards against datagrams of others that end the exchange or count as loads.
+func TestForeignDatagramsAreIgnored(t *testing.T) {
+	b, address := listen(t, "b", nil, nil)
+	c, err := net.Dial("udp", address)
+	assert.NilError(t, err)
+	defer c.Close()
+	for _, text := range []string{"", "\xff\xff\xff", "garbage"} {
+		_, err := c.Write([]byte(text))
+		assert.NilError(t, err)
+	}
+	select {
+	case got := <-b.took:
+		t.Fatalf("took %v", got)
+	case <-time.After(100 * time.Millisecond):
+	}
+}
