--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -117,7 +117,6 @@
 	holder  *fleet.Holder
 	engines *fakeEngines
 	targets map[string]*fakeTarget
-	version uint64
 	seq     uint64
 }
 
