--- a/internal/forward/decide_test.go
+++ b/internal/forward/decide_test.go
@@ -66,7 +66,7 @@
 		l := f.table.acquire(f.table.near(engineRequest(1000), nil), testNow)
 		assert.Equal(t, l.endpoint.id, "a2")
 	}
-	assert.DeepEqual(t, f.Loads(), map[string]Load{"a2": {Requests: 3, Tokens: 3000}})
+	assert.DeepEqual(t, f.Loads(), map[string]Load{"a2": {Requests: 3, Tokens: 3000, Starting: 3000}})
 	f.SetLoads("e2", nil)
 	assert.Equal(t, f.table.acquire(f.table.near(engineRequest(1000), nil), testNow).endpoint.id, "a1")
 }
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -16,6 +16,10 @@
 	// become likely, fullCost what exceeding it costs.
 	nearFull = 0.8
 	fullCost = 3
+	// startingTokens is the prompt length that, waiting in front of a request,
+	// costs as much as a full target: an engine reads it in about the time
+	// within which a first event is due.
+	startingTokens = 12_000
 	// roomShare is the part of an engine's memory that a moved run may fill.
 	roomShare = 0.95
 )
@@ -98,7 +102,7 @@
 	}
 	slots := float64(there.Requests+1) / float64(max(1, engine.Slots))
 	memory := memoryShare(e, q)
-	c := max(slots, memory)
+	c := max(slots, memory) + float64(there.Starting)/startingTokens
 	if memory > nearFull {
 		c += fullCost * (memory - nearFull)
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -113,7 +113,7 @@
 		copyHeaders(r.out.Header(), ans.Header)
 	}
 	m := r.f.startMover(ctx, r, l)
-	err = r.relay(ans.Body)
+	err = r.relay(l, ans.Body)
 	if errors.Is(err, errCallerGone) || (err == nil && !m.told()) {
 		m.abandon()
 	} else if next := m.finish(ctx); next != nil {
@@ -144,7 +144,8 @@
 
 // relay passes whole events on, each once and in order, until the stream ends.
 // A nil error means that the target ended it.
-func (r *run) relay(body io.Reader) error {
+func (r *run) relay(l *lease, body io.Reader) error {
+	began := false
 	events := newEventReader(body)
 	flush := http.NewResponseController(r.out)
 	for {
@@ -169,6 +170,10 @@
 			return err
 		}
 		now := time.Now()
+		if !began {
+			began = true
+			l.started()
+		}
 		if r.started {
 			r.f.observed.record(gapLatency, now.Sub(r.lastAt))
 		} else {
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -43,6 +43,7 @@
 	requests int // in flight from here
 	tokens   int // their expected memory
 	incoming int // copies on their way from other targets
+	starting int // prompt tokens of requests without a first event
 	conns    int // open connections from here
 	idle     []*targetConn
 	failures int
@@ -59,15 +60,17 @@
 	Requests int
 	Tokens   int // their expected memory
 	Incoming int // copies on their way to the target
+	Starting int // prompt tokens of requests without a first event
 }
 
 // total is what all instances have in flight at the endpoint.
 func (e *endpoint) total() Load {
-	sum := Load{Requests: e.requests, Tokens: e.tokens, Incoming: e.incoming}
+	sum := Load{Requests: e.requests, Tokens: e.tokens, Incoming: e.incoming, Starting: e.starting}
 	for _, l := range e.others {
 		sum.Requests += l.Requests
 		sum.Tokens += l.Tokens
 		sum.Incoming += l.Incoming
+		sum.Starting += l.Starting
 	}
 	return sum
 }
@@ -175,9 +178,18 @@
 	table    *table
 	endpoint *endpoint
 	tokens   int
+	starting int
 	released bool
 }
 
+// started notes the first event of the request.
+func (l *lease) started() {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	l.endpoint.starting -= l.starting
+	l.starting = 0
+}
+
 // release gives the place back.
 func (l *lease) release() {
 	l.table.mu.Lock()
@@ -186,6 +198,8 @@
 		l.released = true
 		l.endpoint.requests--
 		l.endpoint.tokens -= l.tokens
+		l.endpoint.starting -= l.starting
+		l.starting = 0
 	}
 }
 
@@ -215,7 +229,8 @@
 	tokens := q.tokens.expected()
 	e.requests++
 	e.tokens += tokens
-	return &lease{table: t, endpoint: e, tokens: tokens}
+	e.starting += q.tokens.prompt
+	return &lease{table: t, endpoint: e, tokens: tokens, starting: q.tokens.prompt}
 }
 
 // place takes a place at a certain endpoint.
@@ -276,7 +291,7 @@
 	out := map[string]Load{}
 	for id, e := range t.endpoints {
 		if e.requests > 0 {
-			out[id] = Load{Requests: e.requests, Tokens: e.tokens, Incoming: e.incoming}
+			out[id] = Load{Requests: e.requests, Tokens: e.tokens, Incoming: e.incoming, Starting: e.starting}
 		}
 	}
 	return out
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -25,15 +25,24 @@
 
 // Pace of the exchange.
 const (
-	// leastInterval is the time between two datagrams to a peer.
-	leastInterval = 60 * time.Millisecond
-	// maxRate bounds the datagrams that one instance sends in a second; with
-	// many peers the interval grows.
-	maxRate = 150
+	// nearInterval and farInterval are the least times between two datagrams
+	// to a peer of the own failure domain, and to any other: requests stay in
+	// the failure domain until it is full.
+	nearInterval = 60 * time.Millisecond
+	farInterval  = 250 * time.Millisecond
+	// nearRate and farRate bound the datagrams that one instance sends in a
+	// second; with many peers the intervals grow.
+	nearRate = 100
+	farRate  = 50
 	// refreshAfter is when an unchanged load is sent again.
 	refreshAfter = 500 * time.Millisecond
-	// forgetAfter is when a peer that sends nothing any more counts as idle.
-	forgetAfter = 2 * time.Second
+	// forgetAfter is when a peer that sends nothing any more counts as idle. It
+	// exceeds the far interval of several hundred peers.
+	forgetAfter = 10 * time.Second
+	// unlistedAfter is the same for a peer that no control instance lists.
+	unlistedAfter = time.Second
+	// readTimeout is how often silent peers are looked for.
+	readTimeout = time.Second
 	// maxDatagram bounds one datagram.
 	maxDatagram = 32 << 10
 )
@@ -73,41 +82,69 @@
 	receiver.Go(func() { x.receive(ctx) })
 	defer receiver.Wait()
 	defer x.conn.Close()
-	var sent map[string]forward.Load
-	var sentAt time.Time
+	near := circle{interval: nearInterval, rate: nearRate}
+	far := circle{interval: farInterval, rate: farRate}
 	for {
-		peers := x.peers()
-		interval := max(leastInterval, time.Duration(len(peers))*time.Second/maxRate)
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(interval):
+		case <-time.After(nearInterval):
 		}
-		now := time.Now()
-		loads := x.loads.Loads()
-		if maps.Equal(loads, sent) && now.Sub(sentAt) < refreshAfter {
-			continue
+		near.peers, far.peers = x.peers()
+		loads, now := x.loads.Loads(), time.Now()
+		for _, c := range []*circle{&near, &far} {
+			if c.due(loads, now) {
+				x.send(c.peers, loads)
+			}
 		}
-		sent, sentAt = loads, now
-		x.send(peers, loads)
 	}
 }
 
-// peers are the addresses of the other entry instances.
-func (x *Exchange) peers() []string {
-	var out []string
-	for name, w := range x.entries() {
-		if name != x.self && w.Internal != "" {
-			out = append(out, w.Internal)
+// circle is a set of peers that hear of the loads at the same pace.
+type circle struct {
+	interval time.Duration // least time between two datagrams
+	rate     int           // datagrams a second to all peers together
+	peers    []string
+	sent     map[string]forward.Load
+	sentAt   time.Time
+}
+
+// due reports whether the loads are to be sent now, and notes that they are.
+func (c *circle) due(loads map[string]forward.Load, now time.Time) bool {
+	age := now.Sub(c.sentAt)
+	if len(c.peers) == 0 || age < max(c.interval, time.Duration(len(c.peers))*time.Second/time.Duration(c.rate)) {
+		return false
+	}
+	if maps.Equal(loads, c.sent) && age < refreshAfter {
+		return false
+	}
+	c.sent, c.sentAt = loads, now
+	return true
+}
+
+// peers are the addresses of the other entry instances, those of the own
+// failure domain apart.
+func (x *Exchange) peers() (near, far []string) {
+	entries := x.entries()
+	own := entries[x.self].FailureDomain
+	for name, w := range entries {
+		switch {
+		case name == x.self || w.Internal == "":
+		case w.FailureDomain == own:
+			near = append(near, w.Internal)
+		default:
+			far = append(far, w.Internal)
 		}
 	}
-	return out
+	return near, far
 }
 
 func (x *Exchange) send(peers []string, loads map[string]forward.Load) {
 	m := &api.FleetLoad{Name: x.self}
 	for id, l := range loads {
-		m.Targets = append(m.Targets, &api.FleetTargetLoad{Id: id, Requests: uint32(l.Requests), Tokens: uint32(l.Tokens), Incoming: uint32(l.Incoming)})
+		m.Targets = append(m.Targets, &api.FleetTargetLoad{
+			Id: id, Requests: uint32(l.Requests), Tokens: uint32(l.Tokens), Incoming: uint32(l.Incoming), Starting: uint32(l.Starting),
+		})
 	}
 	data, err := proto.Marshal(m)
 	if err != nil || len(data) > maxDatagram {
@@ -130,7 +167,7 @@
 	heard := map[string]time.Time{}
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		if err := x.conn.SetReadDeadline(time.Now().Add(forgetAfter / 2)); err != nil {
+		if err := x.conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
 			return
 		}
 		n, _, err := x.conn.ReadFromUDP(buffer)
@@ -141,7 +178,8 @@
 			return
 		}
 		for name, at := range heard {
-			if now.Sub(at) > forgetAfter {
+			_, listed := x.entries()[name]
+			if age := now.Sub(at); age > forgetAfter || (!listed && age > unlistedAfter) {
 				x.loads.SetLoads(name, nil)
 				delete(heard, name)
 			}
@@ -157,7 +195,9 @@
 	}
 	loads := make(map[string]forward.Load, len(m.GetTargets()))
 	for _, t := range m.GetTargets() {
-		loads[t.GetId()] = forward.Load{Requests: int(t.GetRequests()), Tokens: int(t.GetTokens()), Incoming: int(t.GetIncoming())}
+		loads[t.GetId()] = forward.Load{
+			Requests: int(t.GetRequests()), Tokens: int(t.GetTokens()), Incoming: int(t.GetIncoming()), Starting: int(t.GetStarting()),
+		}
 	}
 	heard[m.GetName()] = now
 	x.loads.SetLoads(m.GetName(), loads)
