--- a/internal/forward/decide_test.go
+++ b/internal/forward/decide_test.go
@@ -45,14 +45,19 @@
 // while others idle, and against paid traffic while near engines have room.
 func TestPlacementStaysNearAndEven(t *testing.T) {
 	tb := testTable(viewOf(target("a1", "r-a", 0), target("a2", "r-a", 0), target("b1", "r-b", 0), target("s1", "s-a", 0)))
+	place := func() {
+		l := tb.acquire(tb.near(engineRequest(1000), nil), testNow)
+		assert.Assert(t, l != nil)
+		l.started()
+	}
 	for range 4 {
-		assert.Assert(t, tb.acquire(tb.near(engineRequest(1000), nil), testNow) != nil)
+		place()
 	}
 	e := tb.endpoints
 	assert.Equal(t, e["a1"].requests, 2)
 	assert.Equal(t, e["a2"].requests, 2)
 	for range 20 {
-		assert.Assert(t, tb.acquire(tb.near(engineRequest(1000), nil), testNow) != nil)
+		place()
 	}
 	assert.Assert(t, e["b1"].requests >= 4 && e["s1"].requests >= 1, "near engines are filled beyond their memory")
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -22,8 +22,9 @@
 	q   *request
 	out http.ResponseWriter
 
-	started   bool  // the head has been passed on
-	lastEvent int64 // id of the last event that was passed on
+	head      http.Header // of the first target that answered
+	started   bool        // the head has been passed on
+	lastEvent int64       // id of the last event that was passed on
 	lastAt    time.Time
 	attempts  attempts
 	moves     int
@@ -110,7 +111,7 @@
 		return &outcome{lease: l, err: errForeign}, nil
 	}
 	if !r.started {
-		copyHeaders(r.out.Header(), ans.Header)
+		r.head = ans.Header
 	}
 	m := r.f.startMover(ctx, r, l)
 	err = r.relay(l, ans.Body)
@@ -201,6 +202,7 @@
 func (r *run) start() {
 	if !r.started {
 		r.started = true
+		copyHeaders(r.out.Header(), r.head)
 		r.out.WriteHeader(http.StatusOK)
 	}
 }
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -121,6 +121,20 @@
 	assert.Equal(t, body, "sick")
 }
 
+// Guards against a failure of the system's own that bears a target's stamp,
+// because the target died between the head and the first event.
+func TestFailureBeforeTheFirstEventBearsNoStamp(t *testing.T) {
+	f := newFixture(t, "llm", newFakeTarget(t, "i1", func(r seenRequest, c net.Conn) {
+		begin(c, r, "s")
+		_ = c.Close()
+	}))
+	resp, _, err := f.call(t, "POST", "/long/", "")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 502)
+	assert.Equal(t, resp.Header.Get("T-Stamp"), "")
+	assert.Equal(t, resp.Header.Get("T-Id"), "id-1")
+}
+
 // movable is a pair of engines of which the first leaves after some events.
 type movable struct {
 	*fixture
