fleet: manifests travel compressed, fetched once from the nearest control instance

Change: state announces the version only; instances fetch the compressed document once. Test: TestManifestIsFetchedOnceFromTheNearest.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -42,7 +42,8 @@
 	seeds   []string
 	listed  map[string]time.Time // control instances by address, when last listed
 	running map[string]bool
-	wake    chan struct{} // closed when self changes
+	up      map[string]distance // of those that answer
+	wake    chan struct{}       // closed when self changes
 	workers sync.WaitGroup
 }
 
@@ -50,7 +51,7 @@
 func NewFollower(self Watcher, seeds []string, holder *Holder, peers *http.Client, logger zerolog.Logger, metrics tally.Scope) *Follower {
 	return &Follower{
 		holder: holder, peers: peers, logger: logger, metrics: metrics, self: self, seeds: seeds,
-		listed: map[string]time.Time{}, running: map[string]bool{}, wake: make(chan struct{}),
+		listed: map[string]time.Time{}, running: map[string]bool{}, up: map[string]distance{}, wake: make(chan struct{}),
 	}
 }
 
@@ -75,6 +76,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	tick := time.NewTicker(retryPause)
 	defer tick.Stop()
+	f.workers.Go(func() { f.keepManifest(ctx) })
 	defer f.workers.Wait()
 	for {
 		f.startMissing(ctx)
@@ -123,12 +125,16 @@
 	client := api.NewFleetQueryProtobufClient("http://"+address, f.peers)
 	place := place{control: address}
 	defer f.holder.setEntries(address, nil)
+	defer f.setDown(address)
 	pause := retryPause
 	up := false
 	for ctx.Err() == nil && f.isWanted(address) {
 		err := f.poll(ctx, client, &place)
 		if up != (err == nil) && ctx.Err() == nil {
 			up = err == nil
+			if !up {
+				f.setDown(address)
+			}
 			f.logger.Info().Str("control", address).Bool("up", up).AnErr("reason", err).Msg("control instance")
 		}
 		if err == nil {
@@ -179,9 +185,8 @@
 		case <-stop:
 		}
 	}()
-	index, version := f.holder.held()
 	resp, err := client.Watch(ctx, &api.FleetWatchRequest{
-		Watcher: watcherToProto(&self), StateIndex: index, ManifestVersion: version,
+		Watcher: watcherToProto(&self), StateIndex: f.holder.index(),
 		Epoch: p.epoch, Cursor: p.cursor, EntriesVersion: p.entries, WaitMs: uint32(pollWait.Milliseconds()),
 	})
 	if err != nil {
@@ -192,10 +197,11 @@
 		}
 		return err
 	}
-	return f.take(resp, p)
+	f.take(resp, p)
+	return nil
 }
 
-func (f *Follower) take(resp *api.FleetWatchResponse, p *place) error {
+func (f *Follower) take(resp *api.FleetWatchResponse, p *place) {
 	var state *State
 	if resp.GetState() != nil {
 		state = stateFromProto(resp.GetState())
@@ -204,10 +210,9 @@
 	for _, a := range resp.GetAnnouncements() {
 		news = append(news, announcementFromProto(a))
 	}
-	if err := f.holder.Merge(state, news); err != nil {
-		return err
-	}
+	f.holder.Merge(state, news)
 	p.epoch, p.cursor = resp.GetEpoch(), resp.GetCursor()
+	f.setUp(p.control, f.distanceOf(resp))
 	if resp.GetEntriesVersion() != p.entries {
 		entries := make([]Watcher, 0, len(resp.GetEntries()))
 		for _, w := range resp.GetEntries() {
@@ -224,5 +229,4 @@
 			f.listed[address] = now
 		}
 	}
-	return nil
 }
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -16,13 +16,17 @@
 type State struct {
 	// Index is the log index of the newest change; 0 before the first one.
 	Index uint64
-	// ManifestVersion and Manifest are the manifest in force, as accepted.
+	// ManifestVersion is the version of the manifest in force; 0 if none is.
 	ManifestVersion uint64
-	Manifest        []byte
+	// packed is the manifest as accepted, compressed.
+	packed []byte
 	// OutOfService are the failure domains that get no new work, sorted.
 	OutOfService []string
 }
 
+// Document returns the manifest as it was accepted.
+func (s *State) Document() ([]byte, error) { return unpack(s.packed) }
+
 // Machine applies the replicated log. The manifest version never goes back: a
 // change that does not raise it is applied as no change.
 type Machine struct {
@@ -61,7 +65,7 @@
 		if c.Manifest.GetVersion() <= next.ManifestVersion {
 			return nil
 		}
-		next.ManifestVersion, next.Manifest = c.Manifest.GetVersion(), c.Manifest.GetDocument()
+		next.ManifestVersion, next.packed = c.Manifest.GetVersion(), c.Manifest.GetDocument()
 	case *api.FleetChange_TakeOut:
 		if slices.Contains(next.OutOfService, c.TakeOut) {
 			return nil
@@ -89,7 +93,9 @@
 // Snapshot encodes the whole state.
 func (m *Machine) Snapshot() ([]byte, error) {
 	s, _ := m.State()
-	return proto.MarshalOptions{Deterministic: true}.Marshal(stateToProto(s, 0))
+	p := stateToProto(s)
+	p.Manifest = s.packed
+	return proto.MarshalOptions{Deterministic: true}.Marshal(p)
 }
 
 // Restore replaces the state by a snapshot's.
@@ -104,23 +110,23 @@
 	return nil
 }
 
-// stateToProto encodes a state for a reader that holds a manifest version.
-func stateToProto(s *State, held uint64) *api.FleetState {
-	p := &api.FleetState{Index: s.Index, ManifestVersion: s.ManifestVersion, OutOfService: s.OutOfService}
-	if s.ManifestVersion != held {
-		p.Manifest = s.Manifest
-	}
-	return p
+// stateToProto encodes a state without the manifest's document.
+func stateToProto(s *State) *api.FleetState {
+	return &api.FleetState{Index: s.Index, ManifestVersion: s.ManifestVersion, OutOfService: s.OutOfService}
 }
 
 func stateFromProto(p *api.FleetState) *State {
-	return &State{Index: p.GetIndex(), ManifestVersion: p.GetManifestVersion(), Manifest: p.GetManifest(), OutOfService: p.GetOutOfService()}
+	return &State{Index: p.GetIndex(), ManifestVersion: p.GetManifestVersion(), packed: p.GetManifest(), OutOfService: p.GetOutOfService()}
 }
 
 // ManifestChange encodes the command that puts a manifest in force.
 func ManifestChange(version uint64, document []byte) ([]byte, error) {
+	packed, err := pack(document)
+	if err != nil {
+		return nil, err
+	}
 	return proto.Marshal(&api.FleetChange{Change: &api.FleetChange_Manifest{
-		Manifest: &api.FleetManifestChange{Version: version, Document: document},
+		Manifest: &api.FleetManifestChange{Version: version, Document: packed},
 	}})
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -46,6 +46,8 @@
 	watchers *Watchers
 	epoch    string
 	self     string // internal address
+	region   string
+	domain   string
 	peers    *http.Client
 	logger   zerolog.Logger
 	metrics  tally.Scope
@@ -61,6 +63,8 @@
 	Epoch string
 	// Address is the internal address of this instance.
 	Address string
+	// Region and FailureDomain are where it runs.
+	Region, FailureDomain string
 	// Interval is the time between two announcements of a target.
 	Interval time.Duration
 	Peers    *http.Client
@@ -72,7 +76,7 @@
 // NewServer returns a control instance's part.
 func NewServer(c ServerConfig) *Server {
 	return &Server{
-		log: c.Log, machine: c.Machine, epoch: c.Epoch, self: c.Address, peers: c.Peers,
+		log: c.Log, machine: c.Machine, epoch: c.Epoch, self: c.Address, region: c.Region, domain: c.FailureDomain, peers: c.Peers,
 		logger: c.Logger, metrics: c.Metrics, now: c.Now, started: c.Now(),
 		registry: NewRegistry(c.Interval, c.Now),
 		watchers: NewWatchers(c.Now),
@@ -266,14 +270,14 @@
 
 func (s *Server) answer(req *api.FleetWatchRequest, state *State, news []Announcement, last uint64) *api.FleetWatchResponse {
 	live := s.Live()
-	out := &api.FleetWatchResponse{Epoch: s.epoch, Cursor: last, Control: s.controls(), EntriesVersion: listVersion(live)}
+	out := &api.FleetWatchResponse{Epoch: s.epoch, Cursor: last, Control: s.controls(), EntriesVersion: listVersion(live), Region: s.region, FailureDomain: s.domain}
 	if out.EntriesVersion != req.GetEntriesVersion() {
 		for i := range live {
 			out.Entries = append(out.Entries, watcherToProto(&live[i]))
 		}
 	}
 	if state.Index > req.GetStateIndex() {
-		out.State = stateToProto(state, req.GetManifestVersion())
+		out.State = stateToProto(state)
 	}
 	for i := range news {
 		out.Announcements = append(out.Announcements, announcementToProto(&news[i]))
@@ -281,6 +285,12 @@
 	return out
 }
 
+// Manifest returns the manifest in force here.
+func (s *Server) Manifest(context.Context, *api.FleetManifestRequest) (*api.FleetManifestResponse, error) {
+	state, _ := s.machine.State()
+	return &api.FleetManifestResponse{Version: state.ManifestVersion, Document: state.packed}, nil
+}
+
 func announcementToProto(a *Announcement) *api.FleetAnnouncement {
 	return &api.FleetAnnouncement{
 		Id: a.ID, Service: a.Service, Address: a.Address, FailureDomain: a.FailureDomain, Born: a.Born,
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -19,7 +19,7 @@
 // View is everything that an instance knows of the deployment. It is
 // immutable.
 type View struct {
-	// Index is the log index of the replicated part.
+	// Index is the log index of the failure domains out of service.
 	Index uint64
 	// Manifest is nil until the first one arrives.
 	Manifest *manifest.Index
@@ -55,6 +55,7 @@
 	mu      sync.Mutex
 	view    *View
 	version uint64               // of the manifest held
+	wanted  uint64               // newest version of the manifest that is known to exist
 	lists   map[string][]Watcher // entry instances by the control instance that lists them
 	changed chan struct{}
 }
@@ -81,26 +82,47 @@
 	return view.Entries
 }
 
-// held returns the index of the replicated state and the manifest version.
-func (h *Holder) held() (index, version uint64) {
+// index returns the index of the replicated state.
+func (h *Holder) index() uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.view.Index, h.version
+	return h.view.Index
+}
+
+// missing reports whether a newer manifest exists than the one held, and
+// returns a channel that is closed when that may have changed.
+func (h *Holder) missing() (bool, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.wanted > h.version, h.changed
+}
+
+// SetManifest takes a manifest; one that is not newer is ignored.
+func (h *Holder) SetManifest(version uint64, document []byte) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if version <= h.version {
+		return nil
+	}
+	m, err := h.decode(document)
+	if err != nil {
+		return err
+	}
+	next := *h.view
+	next.Manifest, h.version = manifest.NewIndex(m), version
+	h.replace(&next)
+	return nil
 }
 
 // Merge takes the news of one control instance.
-func (h *Holder) Merge(state *State, news []Announcement) error {
+func (h *Holder) Merge(state *State, news []Announcement) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := *h.view
-	changed, err := h.mergeState(&next, state)
-	if h.mergeTargets(&next, news) {
-		changed = true
-	}
-	if changed {
+	changed := h.mergeState(&next, state)
+	if h.mergeTargets(&next, news) || changed {
 		h.replace(&next)
 	}
-	return err
 }
 
 func (h *Holder) replace(next *View) {
@@ -135,23 +157,17 @@
 	h.replace(&next)
 }
 
-func (h *Holder) mergeState(next *View, state *State) (changed bool, err error) {
+func (h *Holder) mergeState(next *View, state *State) bool {
 	if state == nil || state.Index <= next.Index {
-		return false, nil
-	}
-	if state.ManifestVersion != h.version && len(state.Manifest) > 0 {
-		m, err := h.decode(state.Manifest)
-		if err != nil {
-			return false, err
-		}
-		next.Manifest, h.version = manifest.NewIndex(m), state.ManifestVersion
+		return false
 	}
+	h.wanted = max(h.wanted, state.ManifestVersion)
 	next.Index = state.Index
 	next.OutOfService = map[string]bool{}
 	for _, d := range state.OutOfService {
 		next.OutOfService[d] = true
 	}
-	return true, nil
+	return true
 }
 
 func (h *Holder) mergeTargets(next *View, news []Announcement) bool {
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -66,6 +66,7 @@
 	defer node.Stop()
 	server := fleet.NewServer(fleet.ServerConfig{
 		Log: node, Machine: machine, Epoch: peerauth.NewKey()[:16], Address: c.Internal, Interval: c.Interval,
+		Region: c.Region, FailureDomain: c.FailureDomain,
 		Peers: env.Peers, Logger: env.Log, Metrics: env.Metrics, Now: time.Now,
 	})
 	loops, stopLoops := context.WithCancel(context.Background())
