--- /dev/null
+++ b/cmd/endivectl/explain.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/endivetrack/endivetrack/internal/explain"
+)
+
+type explainCommand struct{}
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "tell the story of a request from the logs" }
+func (*explainCommand) Usage() string {
+	return "explain REQUEST-ID FILE...\n" +
+		"  Prints the lines of all given logs that touch the request, in the order of their times, and the cause of\n" +
+		"  its outcome.\n"
+}
+func (*explainCommand) SetFlags(*flag.FlagSet) {}
+
+func (*explainCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() < 2 {
+		fmt.Fprint(os.Stderr, (*explainCommand)(nil).Usage())
+		return subcommands.ExitUsageError
+	}
+	var log explain.Log
+	for _, name := range f.Args()[1:] {
+		if err := readLog(&log, name); err != nil {
+			return fail(err)
+		}
+	}
+	story := log.Explain(f.Arg(0))
+	for _, line := range story.Lines {
+		fmt.Println(line.Text)
+	}
+	fmt.Println("cause:", story.Cause)
+	return subcommands.ExitSuccess
+}
+
+func readLog(log *explain.Log, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return log.Read(file)
+}
--- a/cmd/endivectl/main.go
+++ b/cmd/endivectl/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&statusCommand{}, "queries")
 	subcommands.Register(&checkCommand{}, "queries")
 	subcommands.Register(&timelineCommand{}, "queries")
+	subcommands.Register(&explainCommand{}, "queries")
 	subcommands.Register(&keyCommand{}, "keys")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/cmd/platform-control/main.go
+++ b/cmd/platform-control/main.go
@@ -13,7 +13,7 @@
 func main() {
 	program := process.Program[*platform.Settings]{
 		Name: "platform-control", Synopsis: "run a control instance on the users' platform",
-		Load: platform.Load,
+		Load: platform.Load, CheckFileName: "check-manifest", CheckFile: platform.CheckManifest,
 		Run: func(ctx context.Context, s *platform.Settings) error {
 			return instance.RunControl(ctx, s.Control())
 		},
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,166 @@
+// Package explain finds the story of one request in the logs of all processes.
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLine bounds one log line; longer ones are skipped.
+const maxLine = 64 << 10
+
+// targetWindow is how long before the request's last line a change of one of
+// its targets still counts as part of the story.
+const targetWindow = 30 * time.Second
+
+// Line is one log line.
+type Line struct {
+	Time     time.Time `json:"time"`
+	Instance string    `json:"instance"`
+	Message  string    `json:"message"`
+	Request  string    `json:"request"`
+	Target   string    `json:"target"`
+	From     string    `json:"from"`
+	To       string    `json:"to"`
+	Error    string    `json:"error"`
+	Code     int       `json:"code"`
+	Status   int       `json:"status"`
+	NotRun   bool      `json:"not_run"`
+	State    int       `json:"state"`
+	Text     string    `json:"-"` // as it was logged
+}
+
+// Log holds the lines that may matter, in the order of their times.
+type Log struct {
+	lines []Line
+}
+
+// Read adds the lines of one process or file. Bytes in front of a line's first
+// brace are ignored, so that prefixed output can be read as well.
+func (l *Log) Read(r io.Reader) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 0, 4<<10), maxLine)
+	for s.Scan() {
+		start := strings.IndexByte(s.Text(), '{')
+		if start < 0 {
+			continue
+		}
+		line := Line{Text: s.Text()[start:]}
+		if json.Unmarshal([]byte(line.Text), &line) == nil && !line.Time.IsZero() {
+			l.lines = append(l.lines, line)
+		}
+	}
+	return s.Err()
+}
+
+// Story is what the logs tell of a request.
+type Story struct {
+	Lines []Line
+	Cause string
+}
+
+// Explain returns the story of a request.
+func (l *Log) Explain(request string) Story {
+	targets := map[string]bool{}
+	var own []Line
+	for _, x := range l.lines {
+		if x.Request != request {
+			continue
+		}
+		own = append(own, x)
+		for _, t := range []string{x.Target, x.From, x.To} {
+			if t != "" {
+				targets[t] = true
+			}
+		}
+	}
+	if len(own) == 0 {
+		return Story{Cause: "no line names the request: it reached no instance whose log is here, was one of the uneventful ones that are not logged, or the instance ended before it wrote"}
+	}
+	sortLines(own)
+	entry, last := own[0].Instance, own[len(own)-1].Time
+	var story []Line
+	for _, x := range l.lines {
+		isTarget := x.Request == "" && targets[x.Target] && x.Instance == entry && !x.Time.After(last) && last.Sub(x.Time) < targetWindow
+		if isTarget {
+			story = append(story, x)
+		}
+	}
+	story = append(story, own...)
+	sortLines(story)
+	return Story{Lines: story, Cause: cause(own, story, l.ended(entry, last))}
+}
+
+// ended reports whether an instance's log shows a start after a time, before
+// any planned stop.
+func (l *Log) ended(instance string, after time.Time) bool {
+	for _, x := range l.lines {
+		if x.Instance == instance && x.Time.After(after) && (x.Message == "started" || x.Message == "stopped") {
+			return x.Message == "started"
+		}
+	}
+	return false
+}
+
+func sortLines(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+}
+
+// cause names what decided the outcome.
+func cause(own, story []Line, ended bool) string {
+	final := own[len(own)-1]
+	failed := ""
+	for _, x := range own {
+		if x.Message == "attempt failed" {
+			failed = attemptCause(x)
+		}
+	}
+	switch final.Message {
+	case "stream whole", "answered":
+		return "served whole"
+	case "refused":
+		if failed != "" {
+			return fmt.Sprintf("refused with %d; %s", final.Code, failed)
+		}
+		return fmt.Sprintf("refused with code %d: %s", final.Code, final.Error)
+	case "stream cut":
+		if left := departure(story); left != "" {
+			return "stream cut: " + left + "; " + failed
+		}
+		return "stream cut: " + failed
+	case "caller left":
+		return "the caller left before the answer"
+	case "attempt failed":
+		return failed
+	}
+	if ended {
+		return "the entry instance ended while it served the request (its next line is a start without a stop)"
+	}
+	return "no line tells the end: the logs stop while the request was being served"
+}
+
+func attemptCause(x Line) string {
+	switch {
+	case x.Error != "":
+		return fmt.Sprintf("target %s: %s", x.Target, x.Error)
+	case x.NotRun:
+		return fmt.Sprintf("target %s refused it unrun", x.Target)
+	}
+	return fmt.Sprintf("target %s answered %d", x.Target, x.Status)
+}
+
+// departure tells which target of the story said that it leaves.
+func departure(story []Line) string {
+	out := ""
+	for _, x := range story {
+		if x.Message == "target" && (x.State == 2 || x.State == 3) {
+			out = fmt.Sprintf("target %s left at %s", x.Target, x.Time.UTC().Format("15:04:05.000"))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,40 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const logs = `  1.0 edge-1 {"instance":"e1","request":"r1","target":"i1","time":"2026-10-01T20:14:01.000Z","message":"placed"}
+not a line
+{"instance":"e1","target":"i1","state":2,"time":"2026-10-01T20:14:02.000Z","message":"target"}
+{"instance":"e2","target":"i1","state":2,"time":"2026-10-01T20:14:02.000Z","message":"target"}
+{"instance":"e1","request":"r1","target":"i1","status":200,"error":"unexpected EOF","time":"2026-10-01T20:14:04.000Z","message":"attempt failed"}
+{"instance":"e1","request":"r1","time":"2026-10-01T20:14:04.000Z","message":"stream cut"}
+{"instance":"e1","request":"r2","target":"i2","status":500,"time":"2026-10-01T20:14:03.000Z","message":"attempt failed"}
+{"instance":"e1","request":"r2","target":"i3","status":200,"time":"2026-10-01T20:14:03.100Z","message":"answered"}
+{"instance":"e1","request":"r3","code":2004,"error":"2004 NO_TARGET: none","time":"2026-10-01T20:14:03.000Z","message":"refused"}
+{"instance":"e2","request":"r4","target":"i2","time":"2026-10-01T20:14:05.000Z","message":"placed"}
+{"instance":"e2","time":"2026-10-01T20:14:09.000Z","message":"started"}
+{"instance":"e1","request":"r5","target":"i2","time":"2026-10-01T20:14:05.000Z","message":"placed"}
+{"instance":"e1","time":"2026-10-01T20:14:09.000Z","message":"stopped"}
+`
+
+// Guards against a failed request whose cause the logs hold and nobody finds.
+func TestCauses(t *testing.T) {
+	var l Log
+	assert.NilError(t, l.Read(strings.NewReader(logs)))
+	for request, want := range map[string]string{
+		"r1": "stream cut: target i1 left at 20:14:02.000; target i1: unexpected EOF",
+		"r2": "served whole",
+		"r3": "refused with code 2004: 2004 NO_TARGET: none",
+		"r4": "the entry instance ended while it served the request (its next line is a start without a stop)",
+		"r5": "no line tells the end: the logs stop while the request was being served",
+	} {
+		assert.Equal(t, l.Explain(request).Cause, want)
+	}
+	assert.Equal(t, len(l.Explain("r1").Lines), 4, "the other instance's view of the target stays out")
+	assert.Equal(t, len(l.Explain("none").Lines), 0)
+}
--- a/internal/process/program.go
+++ b/internal/process/program.go
@@ -20,6 +20,10 @@
 	ConfigFile string
 	// Load reads and checks a configuration file.
 	Load func(file string) (C, error)
+	// CheckFile checks a further kind of file, for the command named
+	// CheckFileName; nil: there is none.
+	CheckFileName string
+	CheckFile     func(file string) error
 	// Run serves until ctx ends and then stops as planned.
 	Run func(ctx context.Context, config C) error
 }
@@ -31,6 +35,9 @@
 	subcommands.Register(subcommands.FlagsCommand(), "help")
 	subcommands.Register(&runCommand[C]{program: p}, "")
 	subcommands.Register(&checkConfigCommand[C]{program: p}, "")
+	if p.CheckFile != nil {
+		subcommands.Register(&checkFileCommand{name: p.CheckFileName, check: p.CheckFile}, "")
+	}
 	subcommands.Register(&versionCommand{name: p.Name}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
@@ -86,6 +93,29 @@
 	return subcommands.ExitSuccess
 }
 
+type checkFileCommand struct {
+	name  string
+	check func(file string) error
+}
+
+func (c *checkFileCommand) Name() string         { return c.name }
+func (c *checkFileCommand) Synopsis() string     { return "check a file without starting" }
+func (c *checkFileCommand) Usage() string        { return c.name + " FILE\n" }
+func (*checkFileCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute checks the file.
+func (c *checkFileCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	if err := c.check(f.Arg(0)); err != nil {
+		return fail(err)
+	}
+	fmt.Printf("%s: ok\n", f.Arg(0))
+	return subcommands.ExitSuccess
+}
+
 type versionCommand struct {
 	name string
 }
