--- a/internal/forward/decide_test.go
+++ b/internal/forward/decide_test.go
@@ -162,6 +162,16 @@
 	assert.Assert(t, len(repeats) > 0)
 }
 
+// Plays a target that resets connections: guards against every instance having
+// to find out by requests of its own.
+func TestSuspicionIsShared(t *testing.T) {
+	f := &Forwarder{table: testTable(viewOf(target("a1", "r-a", 0), target("b1", "r-b", 0)))}
+	f.SetLoads("e2", map[string]Load{"a1": {Suspect: true}})
+	assert.Equal(t, f.table.acquire(f.table.near(engineRequest(1), nil), testNow).endpoint.id, "b1")
+	f.SetLoads("e2", nil)
+	assert.Equal(t, f.table.acquire(f.table.near(engineRequest(1), nil), testNow).endpoint.id, "a1")
+}
+
 // Guards against an endpoint of a former incarnation that keeps its standing.
 func TestNewIncarnationIsANewEndpoint(t *testing.T) {
 	tb := testTable(viewOf(target("a1", "r-a", 0)))
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -9,7 +9,8 @@
 // Costs that placement weighs, in parts of a target's capacity.
 const (
 	// silentCost ranks targets that sent no announcement for a while behind
-	// all others, suspectCost those that failed lately behind those.
+	// all others, suspectCost those that failed this or another instance
+	// lately behind those.
 	silentCost  = 4
 	suspectCost = 8
 	// nearFull is the part of an engine's memory beyond which preemptions
@@ -76,9 +77,30 @@
 	return best
 }
 
+// farChoices is how many targets of other failure domains one decision looks
+// at. What is known of those is older, and with many instances all of them
+// would run to the one that looked free a second ago; two drawn by lot spread
+// the load almost as well as a fresh view of all.
+const farChoices = 2
+
+// sample returns the candidates near d's place and some of the others.
+func sample(candidates []*endpoint, d *demand, shuffle func(n int, swap func(i, j int))) []*endpoint {
+	var near, far []*endpoint
+	for _, e := range candidates {
+		if e.zone == d.from.FailureDomain {
+			near = append(near, e)
+		} else {
+			far = append(far, e)
+		}
+	}
+	shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near, far[:min(len(far), farChoices)]...)
+}
+
 // cost is what a place at e costs.
 func cost(e *endpoint, d *demand, now time.Time) float64 {
-	c := load(e, d.q) + d.far.incoming*float64(e.total().Incoming)
+	there := e.total()
+	c := load(e, d.q) + d.far.incoming*float64(there.Incoming)
 	switch {
 	case e.region != d.from.Region:
 		c += d.far.region
@@ -88,7 +110,7 @@
 	if e.target.State == fleet.Silent {
 		c += silentCost
 	}
-	if now.Before(e.suspect) {
+	if there.Suspect || now.Before(e.suspect) {
 		c += suspectCost
 	}
 	return c
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -26,6 +26,8 @@
 	started   bool        // the head has been passed on
 	lastEvent int64       // id of the last event that was passed on
 	lastAt    time.Time
+	first     time.Duration // from arrival to the first event
+	pause     time.Duration // longest between two events
 	attempts  attempts
 	moves     int
 }
@@ -126,7 +128,7 @@
 		r.f.table.succeeded(l.endpoint)
 		r.f.config.Metrics.Counter("forward.streams_whole").Inc(1)
 		r.f.config.Logger.Info().Str("request", r.q.id).Str("target", l.endpoint.id).Int64("events", r.lastEvent).
-			Int("moves", r.moves).Dur("after", time.Since(r.q.arrived)).Msg("stream whole")
+			Int("moves", r.moves).Dur("first", r.first).Dur("pause", r.pause).Dur("after", time.Since(r.q.arrived)).Msg("stream whole")
 		return nil, nil
 	}
 	return &outcome{lease: l, status: http.StatusOK, err: err}, nil
@@ -176,9 +178,11 @@
 			l.started()
 		}
 		if r.started {
+			r.pause = max(r.pause, now.Sub(r.lastAt))
 			r.f.observed.record(gapLatency, now.Sub(r.lastAt))
 		} else {
-			r.f.observed.record(firstLatency, now.Sub(r.q.arrived))
+			r.first = now.Sub(r.q.arrived)
+			r.f.observed.record(firstLatency, r.first)
 		}
 		r.lastAt = now
 		r.start()
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -61,6 +61,8 @@
 	Tokens   int // their expected memory
 	Incoming int // copies on their way to the target
 	Starting int // prompt tokens of requests without a first event
+	// Suspect is set while the target is avoided after failures.
+	Suspect bool
 }
 
 // total is what all instances have in flight at the endpoint.
@@ -71,6 +73,7 @@
 		sum.Tokens += l.Tokens
 		sum.Incoming += l.Incoming
 		sum.Starting += l.Starting
+		sum.Suspect = sum.Suspect || l.Suspect
 	}
 	return sum
 }
@@ -215,7 +218,11 @@
 	defer t.mu.Unlock()
 	candidates := t.candidates(d)
 	for len(candidates) > 0 {
-		e := pick(candidates, d, now, rand.Float64)
+		looked := candidates
+		if !d.copied {
+			looked = sample(candidates, d, rand.Shuffle)
+		}
+		e := pick(looked, d, now, rand.Float64)
 		if t.admitCold(e, d.q.service, now) {
 			return t.take(e, d.q)
 		}
@@ -289,9 +296,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := map[string]Load{}
+	now := time.Now()
 	for id, e := range t.endpoints {
-		if e.requests > 0 {
-			out[id] = Load{Requests: e.requests, Tokens: e.tokens, Incoming: e.incoming, Starting: e.starting}
+		l := Load{Requests: e.requests, Tokens: e.tokens, Incoming: e.incoming, Starting: e.starting, Suspect: now.Before(e.suspect)}
+		if l != (Load{}) {
+			out[id] = l
 		}
 	}
 	return out
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -143,7 +143,7 @@
 	m := &api.FleetLoad{Name: x.self}
 	for id, l := range loads {
 		m.Targets = append(m.Targets, &api.FleetTargetLoad{
-			Id: id, Requests: uint32(l.Requests), Tokens: uint32(l.Tokens), Incoming: uint32(l.Incoming), Starting: uint32(l.Starting),
+			Id: id, Requests: uint32(l.Requests), Tokens: uint32(l.Tokens), Incoming: uint32(l.Incoming), Starting: uint32(l.Starting), Suspect: l.Suspect,
 		})
 	}
 	data, err := proto.Marshal(m)
@@ -196,7 +196,7 @@
 	loads := make(map[string]forward.Load, len(m.GetTargets()))
 	for _, t := range m.GetTargets() {
 		loads[t.GetId()] = forward.Load{
-			Requests: int(t.GetRequests()), Tokens: int(t.GetTokens()), Incoming: int(t.GetIncoming()), Starting: int(t.GetStarting()),
+			Requests: int(t.GetRequests()), Tokens: int(t.GetTokens()), Incoming: int(t.GetIncoming()), Starting: int(t.GetStarting()), Suspect: t.GetSuspect(),
 		}
 	}
 	heard[m.GetName()] = now
