--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -32,7 +32,7 @@
 	farInterval  = 250 * time.Millisecond
 	// nearRate and farRate bound the datagrams that one instance sends in a
 	// second; with many peers the intervals grow.
-	nearRate = 100
+	nearRate = 200
 	farRate  = 50
 	// refreshAfter is when an unchanged load is sent again.
 	refreshAfter = 500 * time.Millisecond
