--- a/internal/fleet/server_test.go
+++ b/internal/fleet/server_test.go
@@ -15,34 +15,15 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/endivetrack/endivetrack/internal/agreement"
+	"github.com/endivetrack/endivetrack/internal/fleet/fleettest"
 	"github.com/endivetrack/endivetrack/internal/manifest"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
-// fakeLog commits at once, or refuses.
-type fakeLog struct {
-	machine *Machine
-	members []agreement.Member
-	index   uint64
-	err     error
-}
-
-func (l *fakeLog) Propose(_ context.Context, command []byte) (agreement.Applied, error) {
-	if l.err != nil {
-		return agreement.Applied{}, l.err
-	}
-	l.index++
-	return agreement.Applied{Index: l.index, Result: l.machine.Apply(l.index, command)}, nil
-}
-
-func (l *fakeLog) ReadBarrier(context.Context) (uint64, error) { return l.index, l.err }
-
-func (l *fakeLog) Status() agreement.Status { return agreement.Status{Members: l.members} }
-
 // testControl is a control instance on loopback.
 type testControl struct {
 	*Server
-	log     *fakeLog
+	log     *fleettest.Log
 	address string
 	http    *httptest.Server
 	fetches atomic.Int32 // of the manifest
@@ -50,7 +31,7 @@
 
 func newTestControl(t *testing.T, epoch string) *testControl {
 	machine := NewMachine()
-	c := &testControl{log: &fakeLog{machine: machine}}
+	c := &testControl{log: &fleettest.Log{Machine: machine}}
 	mux := http.NewServeMux()
 	c.http = httptest.NewServer(mux)
 	t.Cleanup(c.http.Close)
@@ -146,7 +127,7 @@
 func TestLeaveIsRelayed(t *testing.T) {
 	a, b := newTestControl(t, "1"), newTestControl(t, "2")
 	members := []agreement.Member{{Address: a.address}, {Address: b.address}}
-	a.log.members, b.log.members = members, members
+	a.log.Now.Members, b.log.Now.Members = members, members
 	h, _ := follow(t, "e1", b.address)
 	assert.NilError(t, a.Announce(context.Background(), draining(ready("i1", 1, 2))))
 	v := await(t, h, func(v *View) bool { return v.Targets["i1"] != nil })
@@ -158,7 +139,7 @@
 func TestStaleControlInstanceIsIgnored(t *testing.T) {
 	fresh, stale := newTestControl(t, "1"), newTestControl(t, "2")
 	commitManifest(t, stale, 1, "x")
-	fresh.log.index = 10
+	fresh.log.Index = 10
 	commitManifest(t, fresh, 2, "xx")
 	command, err := DomainChange("a", false)
 	assert.NilError(t, err)
@@ -191,7 +172,7 @@
 func TestReadNeedsTheGroup(t *testing.T) {
 	c := newTestControl(t, "1")
 	commitManifest(t, c, 1, "x")
-	c.log.err = &agreement.NotLeaderError{}
+	c.log.Err = &agreement.NotLeaderError{}
 	_, err := c.Read(context.Background())
 	assert.Assert(t, err != nil)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -105,7 +105,7 @@
 
 // Run keeps the targets up to date until ctx ends.
 func (f *Forwarder) Run(ctx context.Context) {
-	go f.observed.run(ctx)
+	go f.observed.Run(ctx)
 	for {
 		view, changed := f.config.Holder.View()
 		f.table.sync(view, time.Now())
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -241,7 +241,7 @@
 	}
 	m.handle = c.Handle
 	m.f.config.Metrics.Counter("forward.moved").Inc(1)
-	m.f.observed.record(moveLatency, time.Since(started))
+	m.f.observed.Record(moveLatency, time.Since(started))
 	m.f.config.Logger.Info().Str("request", q.id).Str("from", source.id).Str("to", l.endpoint.id).Int("events", c.Events).
 		Dur("took", time.Since(started)).AnErr("last_copy", err).Msg("run moved")
 	if err != nil {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -83,7 +83,7 @@
 func (f *Forwarder) answered(q *request, a *attempts, o *outcome) {
 	after := time.Since(q.arrived)
 	f.config.Metrics.Counter("forward.answered").Inc(1)
-	f.observed.record(answerLatency, after)
+	f.observed.Record(answerLatency, after)
 	if a.sends > 1 || f.observed.sampled() {
 		f.config.Logger.Info().Str("request", q.id).Str("route", q.route.Name).Str("target", o.lease.endpoint.id).
 			Int("status", o.status).Int("sends", a.sends).Dur("after", after).Msg("answered")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -179,10 +179,10 @@
 		}
 		if r.started {
 			r.pause = max(r.pause, now.Sub(r.lastAt))
-			r.f.observed.record(gapLatency, now.Sub(r.lastAt))
+			r.f.observed.Record(gapLatency, now.Sub(r.lastAt))
 		} else {
 			r.first = now.Sub(r.q.arrived)
-			r.f.observed.record(firstLatency, r.first)
+			r.f.observed.Record(firstLatency, r.first)
 		}
 		r.lastAt = now
 		r.start()
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -55,50 +55,6 @@
 	moving chan struct{}
 }
 
-// Load is what one instance has in flight at a target.
-type Load struct {
-	Requests int
-	Tokens   int // their expected memory
-	Incoming int // copies on their way to the target
-	Starting int // prompt tokens of requests without a first event
-	// Suspect is set while the target is avoided after failures.
-	Suspect bool
-}
-
-// total is what all instances have in flight at the endpoint.
-func (e *endpoint) total() Load {
-	sum := Load{Requests: e.requests, Tokens: e.tokens, Incoming: e.incoming, Starting: e.starting}
-	for _, l := range e.others {
-		sum.Requests += l.Requests
-		sum.Tokens += l.Tokens
-		sum.Incoming += l.Incoming
-		sum.Starting += l.Starting
-		sum.Suspect = sum.Suspect || l.Suspect
-	}
-	return sum
-}
-
-// coldLimit is a token bucket for a cold target.
-type coldLimit struct {
-	tokens float64
-	at     time.Time
-}
-
-// take reports whether the bucket holds a token at a rate, and takes it.
-func (c *coldLimit) take(rate float64, now time.Time) bool {
-	if c.at.IsZero() {
-		c.tokens = 1
-	} else {
-		c.tokens = min(c.tokens+rate*now.Sub(c.at).Seconds(), max(1, rate/4))
-	}
-	c.at = now
-	if c.tokens < 1 {
-		return false
-	}
-	c.tokens--
-	return true
-}
-
 // table holds the endpoints.
 type table struct {
 	self    Place
@@ -176,36 +132,6 @@
 	e.idle = nil
 }
 
-// lease is a request's place at an endpoint.
-type lease struct {
-	table    *table
-	endpoint *endpoint
-	tokens   int
-	starting int
-	released bool
-}
-
-// started notes the first event of the request.
-func (l *lease) started() {
-	l.table.mu.Lock()
-	defer l.table.mu.Unlock()
-	l.endpoint.starting -= l.starting
-	l.starting = 0
-}
-
-// release gives the place back.
-func (l *lease) release() {
-	l.table.mu.Lock()
-	defer l.table.mu.Unlock()
-	if !l.released {
-		l.released = true
-		l.endpoint.requests--
-		l.endpoint.tokens -= l.tokens
-		l.endpoint.starting -= l.starting
-		l.starting = 0
-	}
-}
-
 // near returns the demand of a caller's request.
 func (t *table) near(q *request, exclude []*endpoint) *demand {
 	return &demand{q: q, from: t.self, far: nearCaller, exclude: exclude}
@@ -290,36 +216,6 @@
 	return e.cold.take(coldShare*s.ColdPerSecond/float64(t.view.Sharers()), now)
 }
 
-// Loads returns what this instance has in flight, by target id.
-func (f *Forwarder) Loads() map[string]Load {
-	t := f.table
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := map[string]Load{}
-	now := time.Now()
-	for id, e := range t.endpoints {
-		l := Load{Requests: e.requests, Tokens: e.tokens, Incoming: e.incoming, Starting: e.starting, Suspect: now.Before(e.suspect)}
-		if l != (Load{}) {
-			out[id] = l
-		}
-	}
-	return out
-}
-
-// SetLoads takes what another instance has in flight; nil forgets it.
-func (f *Forwarder) SetLoads(instance string, loads map[string]Load) {
-	t := f.table
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for id, e := range t.endpoints {
-		if l, ok := loads[id]; ok {
-			e.others[instance] = l
-		} else {
-			delete(e.others, instance)
-		}
-	}
-}
-
 // entries is the number of instances that share the targets.
 func (t *table) entries() int {
 	t.mu.Lock()
@@ -342,14 +238,6 @@
 	e.failures++
 }
 
-// standing returns what all instances have in flight at an endpoint, and the
-// age of its newest announcement that is known here.
-func (t *table) standing(e *endpoint) (Load, time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return e.total(), time.Since(e.target.Heard)
-}
-
 // succeeded notes a whole answer.
 func (t *table) succeeded(e *endpoint) {
 	t.mu.Lock()
