--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
@@ -13,7 +15,7 @@
 
 // readBody reads the whole body, so that it can be sent to a target in one
 // piece and, where allowed, once more.
-func (f *Forwarder) readBody(q *request, r *http.Request, limit int64) (release func(), err error) {
+func (f *Forwarder) readBody(w http.ResponseWriter, q *request, r *http.Request, limit int64) (release func(), err error) {
 	release = func() {}
 	if r.ContentLength > limit {
 		return release, resultcode.Newf(resultcode.BodyTooLarge, "a body of %d bytes exceeds %d", r.ContentLength, limit)
@@ -29,8 +31,18 @@
 		return release, resultcode.Newf(resultcode.Overloaded, "the buffer for bodies is full")
 	}
 	release = func() { f.giveBuffer(held) }
+	// A body that crawls must not outlast what its caller waits for.
+	connection := http.NewResponseController(w)
+	if err := connection.SetReadDeadline(q.deadline); err != nil {
+		return release, resultcode.Newf(resultcode.Internal, "read body: %v", err)
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err == nil {
+		err = connection.SetReadDeadline(time.Time{})
+	}
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return release, resultcode.Newf(resultcode.DeadlineExceeded, "the body did not arrive in time")
 	case err != nil:
 		if errors.Is(err, io.ErrUnexpectedEOF) || r.Context().Err() != nil {
 			panic(http.ErrAbortHandler) // the caller broke off its request
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -171,7 +171,7 @@
 		// closed.
 		w.Header().Set("Connection", "close")
 	}
-	q, release, err := f.accept(r, arrived)
+	q, release, err := f.accept(w, r, arrived)
 	defer release()
 	if err != nil {
 		f.refuse(w, r, q, err)
@@ -191,7 +191,7 @@
 
 // accept checks a request and reads its body. The returned function gives the
 // buffer space back.
-func (f *Forwarder) accept(r *http.Request, arrived time.Time) (*request, func(), error) {
+func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, func(), error) {
 	none := func() {}
 	q := &request{id: r.Header.Get(f.config.Headers.RequestID), method: r.Method, uri: r.RequestURI, header: r.Header, arrived: arrived}
 	view := f.awaitView(r.Context(), func(v *fleet.View) bool { return v.Manifest != nil })
@@ -205,7 +205,7 @@
 	if limit <= 0 {
 		limit = maxBufferedBody
 	}
-	release, err := f.readBody(q, r, limit)
+	release, err := f.readBody(w, q, r, limit)
 	return q, release, err
 }
 
@@ -289,7 +289,9 @@
 func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, q *request, err error) {
 	e := resultcode.From(err)
 	f.config.Metrics.Counter("forward.refused").Inc(1)
-	if r.Context().Err() != nil && q.route != nil {
+	// The library takes a body that ends late for a caller that has left.
+	late := e.Code == resultcode.DeadlineExceeded
+	if r.Context().Err() != nil && q.route != nil && !late {
 		f.config.Logger.Info().Str("request", q.id).Msg("caller left")
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/forward/plain_test.go
+++ b/internal/forward/plain_test.go
@@ -221,6 +221,26 @@
 	}
 }
 
+// Guards against a caller whose body crawls and holds a connection and buffer
+// space beyond its own deadline, and against one that is served afterwards.
+func TestCrawlingBodyEnds(t *testing.T) {
+	x := newFakeTarget(t, "i1", answers(200, "ok"))
+	f := newFixture(t, "core", x)
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer c.Close()
+	fmt.Fprintf(c, "POST /write/ HTTP/1.1\r\nHost: h\r\nT-Id: id-1\r\nT-Key: key\r\nT-Deadline: 200\r\nContent-Length: 10\r\n\r\nhalf")
+	assert.NilError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Equal(t, len(x.seen()), 0)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, f.buffer, int64(0))
+}
+
 // Guards against a request hidden behind chunks with a length: the connection
 // is closed before it would be read.
 func TestHiddenRequestIsNotRead(t *testing.T) {
