--- a/internal/agreement/change.go
+++ b/internal/agreement/change.go
@@ -35,6 +35,11 @@
 
 // quorumInContact reports whether a majority of m's voters answered lately.
 func (c *core) quorumInContact(m membership) bool {
+	return c.inContact(m) >= c.rules.quorum(len(m.voters()))
+}
+
+// inContact counts the voters of m that answered lately, the leader included.
+func (c *core) inContact(m membership) int {
 	n := 0
 	for _, v := range m.voters() {
 		p := c.peers[v.Incarnation]
@@ -42,7 +47,7 @@
 			n++
 		}
 	}
-	return n >= c.rules.quorum(len(m.voters()))
+	return n
 }
 
 func (c *core) notLeader() error {
--- a/internal/agreement/grow.go
+++ b/internal/agreement/grow.go
@@ -43,14 +43,7 @@
 // spares reports whether, with one silent voter of n removed, one more could
 // be lost.
 func (c *core) spares(n int) bool {
-	alive := 0
-	for _, v := range c.members().voters() {
-		p := c.peers[v.Incarnation]
-		if v.Incarnation == c.cfg.Self.Incarnation || (p != nil && c.now.Sub(p.contact) < c.cfg.ElectionTimeout) {
-			alive++
-		}
-	}
-	return alive > c.rules.quorum(n-1)
+	return c.inContact(c.members()) > c.rules.quorum(n-1)
 }
 
 func (c *core) promoteOne() {
