--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -128,11 +128,33 @@
 	return resp.GetSettings(), err
 }
 
-// Status returns the control group's view of itself and of the instances.
+// Status returns the control group's view of itself and of the instances. A
+// control instance cut off from its group answers with its own view and no
+// leader; that view is returned only if no other instance knows a leader.
 func (o *Operator) Status(ctx context.Context) (*api.StatusResponse, error) {
-	return tryEach(ctx, o, func(ctx context.Context, base string) (*api.StatusResponse, error) {
-		return api.NewControlQueryProtobufClient(base, o.client).Status(ctx, &api.StatusRequest{})
-	})
+	var leaderless *api.StatusResponse
+	var last error
+	for _, address := range o.addresses {
+		status, err := o.statusOf(ctx, address)
+		switch {
+		case err != nil:
+			last = resultcode.FromTwirp(err)
+		case status.GetLeader() != "":
+			return status, nil
+		case leaderless == nil:
+			leaderless = status
+		}
+	}
+	if leaderless != nil {
+		return leaderless, nil
+	}
+	return nil, trace.Wrap(last)
+}
+
+func (o *Operator) statusOf(ctx context.Context, address string) (*api.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return api.NewControlQueryProtobufClient("http://"+address, o.client).Status(ctx, &api.StatusRequest{})
 }
 
 // WaitInForce waits until every instance obeys the state at version or has
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,65 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// statusServer answers status queries only.
+type statusServer struct {
+	api.ControlQuery
+	leader string
+	err    error
+}
+
+func (s statusServer) Status(context.Context, *api.StatusRequest) (*api.StatusResponse, error) {
+	return &api.StatusResponse{Leader: s.leader}, s.err
+}
+
+func openAt(t *testing.T, instances ...statusServer) *Operator {
+	t.Helper()
+	list := ""
+	for _, s := range instances {
+		server := httptest.NewServer(api.NewControlQueryServer(s))
+		t.Cleanup(server.Close)
+		list += fmt.Sprintf("%q,", server.Listener.Addr().String())
+	}
+	dir := t.TempDir()
+	key, file := filepath.Join(dir, "key"), filepath.Join(dir, "endivectl.toml")
+	assert.NilError(t, os.WriteFile(key, []byte("operator-key"), 0o600))
+	assert.NilError(t, os.WriteFile(file, fmt.Appendf(nil, "control_addresses = [%s]\noperator_key_file = %q\n", list, key), 0o600))
+	o, err := Open(file)
+	assert.NilError(t, err)
+	return o
+}
+
+// Guards against a status taken from a control instance that is cut off while
+// the rest of the group has a leader.
+func TestStatusPrefersAnInstanceThatKnowsALeader(t *testing.T) {
+	unavailable := resultcode.ToTwirp(resultcode.Newf(resultcode.ControlUnavailable, "no leader reached"))
+	for name, tc := range map[string]struct {
+		instances []statusServer
+		leader    string
+	}{
+		"cut off first":     {[]statusServer{{}, {leader: "control-2"}}, "control-2"},
+		"unavailable first": {[]statusServer{{err: unavailable}, {leader: "control-2"}}, "control-2"},
+		"nobody knows":      {[]statusServer{{err: unavailable}, {}}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			status, err := openAt(t, tc.instances...).Status(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, status.GetLeader(), tc.leader)
+		})
+	}
+	_, err := openAt(t, statusServer{err: unavailable}).Status(t.Context())
+	assert.ErrorIs(t, err, &resultcode.Error{Code: resultcode.ControlUnavailable})
+}
