explain: order log lines by the time line's clock

Cause: the story of a request was sorted by wall time, so with clocks apart an effect could stand before its cause; and one line over 64 KiB ended the reading of a file (bufio.Scanner stops there). Change: each log line carries the logical clock, calls between instances carry it too, explain sorts by it; timeline and explain share one line reader, which skips long lines and counts them.

--- a/cmd/endivectl/explain.go
+++ b/cmd/endivectl/explain.go
@@ -9,6 +9,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/endivetrack/endivetrack/internal/explain"
+	"github.com/endivetrack/endivetrack/internal/timeline"
 )
 
 type explainCommand struct{}
@@ -17,8 +18,8 @@
 func (*explainCommand) Synopsis() string { return "tell the story of a request from the logs" }
 func (*explainCommand) Usage() string {
 	return "explain REQUEST-ID FILE...\n" +
-		"  Prints the lines of all given logs that touch the request, in the order of their times, and the cause of\n" +
-		"  its outcome.\n"
+		"  Prints the lines of all given logs that touch the request, in the order of their logical clocks, and the\n" +
+		"  cause of its outcome.\n"
 }
 func (*explainCommand) SetFlags(*flag.FlagSet) {}
 
@@ -47,5 +48,9 @@
 		return err
 	}
 	defer file.Close()
-	return log.Read(file)
+	skipped, err := log.Read(file)
+	if skipped > 0 {
+		fmt.Fprintf(os.Stderr, "%s: %d lines over %d bytes skipped\n", name, skipped, timeline.MaxLineBytes)
+	}
+	return err
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -2,17 +2,15 @@
 package explain
 
 import (
-	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
-	"strings"
 	"time"
-)
 
-// maxLine bounds one log line; longer ones are skipped.
-const maxLine = 64 << 10
+	"github.com/endivetrack/endivetrack/internal/timeline"
+)
 
 // targetWindow is how long before the request's last line a change of one of
 // its targets still counts as part of the story.
@@ -21,6 +19,7 @@
 // Line is one log line.
 type Line struct {
 	Time     time.Time `json:"time"`
+	Clock    string    `json:"clock"`
 	Instance string    `json:"instance"`
 	Message  string    `json:"message"`
 	Request  string    `json:"request"`
@@ -33,29 +32,42 @@
 	NotRun   bool      `json:"not_run"`
 	State    int       `json:"state"`
 	Text     string    `json:"-"` // as it was logged
+	order    timeline.Timestamp
 }
 
-// Log holds the lines that may matter, in the order of their times.
+// Log holds the lines of all processes.
 type Log struct {
 	lines []Line
 }
 
 // Read adds the lines of one process or file. Bytes in front of a line's first
-// brace are ignored, so that prefixed output can be read as well.
-func (l *Log) Read(r io.Reader) error {
-	s := bufio.NewScanner(r)
-	s.Buffer(make([]byte, 0, 4<<10), maxLine)
-	for s.Scan() {
-		start := strings.IndexByte(s.Text(), '{')
+// brace are ignored, so that prefixed output can be read as well. It returns
+// how many lines were too long to be read.
+func (l *Log) Read(r io.Reader) (skipped int, err error) {
+	return timeline.EachLine(r, func(text []byte) {
+		start := bytes.IndexByte(text, '{')
 		if start < 0 {
-			continue
+			return
 		}
-		line := Line{Text: s.Text()[start:]}
-		if json.Unmarshal([]byte(line.Text), &line) == nil && !line.Time.IsZero() {
+		if line, ok := parseLine(text[start:]); ok {
 			l.lines = append(l.lines, line)
 		}
+	})
+}
+
+// parseLine decodes a log line. One without the logical clock is ordered by its
+// wall time.
+func parseLine(text []byte) (Line, bool) {
+	line := Line{Text: string(text)}
+	if json.Unmarshal(text, &line) != nil || line.Time.IsZero() {
+		return Line{}, false
+	}
+	order, err := timeline.ParseTimestamp(line.Clock)
+	if err != nil {
+		order = timeline.Timestamp{WallMicros: line.Time.UnixMicro()}
 	}
-	return s.Err()
+	line.order = order
+	return line, true
 }
 
 // Story is what the logs tell of a request.
@@ -83,24 +95,24 @@
 		return Story{Cause: "no line names the request: it reached no instance whose log is here, was one of the uneventful ones that are not logged, or the instance ended before it wrote"}
 	}
 	sortLines(own)
-	entry, last := own[0].Instance, own[len(own)-1].Time
+	entry, last := own[0].Instance, own[len(own)-1]
 	var story []Line
 	for _, x := range l.lines {
-		isTarget := x.Request == "" && targets[x.Target] && x.Instance == entry && !x.Time.After(last) && last.Sub(x.Time) < targetWindow
+		isTarget := x.Request == "" && targets[x.Target] && x.Instance == entry && !last.order.Before(x.order) && last.Time.Sub(x.Time) < targetWindow
 		if isTarget {
 			story = append(story, x)
 		}
 	}
 	story = append(story, own...)
 	sortLines(story)
-	return Story{Lines: story, Cause: cause(own, story, l.ended(entry, last))}
+	return Story{Lines: story, Cause: cause(own, story, l.ended(entry, last.order))}
 }
 
 // ended reports whether an instance's log shows a start after a time, before
 // any planned stop.
-func (l *Log) ended(instance string, after time.Time) bool {
+func (l *Log) ended(instance string, after timeline.Timestamp) bool {
 	for _, x := range l.lines {
-		if x.Instance == instance && x.Time.After(after) && (x.Message == "started" || x.Message == "stopped") {
+		if x.Instance == instance && after.Before(x.order) && (x.Message == "started" || x.Message == "stopped") {
 			return x.Message == "started"
 		}
 	}
@@ -108,7 +120,7 @@
 }
 
 func sortLines(lines []Line) {
-	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.order.Compare(b.order) })
 }
 
 // cause names what decided the outcome.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -1,10 +1,13 @@
 package explain
 
 import (
+	"bytes"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/timeline"
 )
 
 const logs = `  1.0 edge-1 {"instance":"e1","request":"r1","target":"i1","time":"2026-10-01T20:14:01.000Z","message":"placed"}
@@ -25,7 +28,8 @@
 // Guards against a failed request whose cause the logs hold and nobody finds.
 func TestCauses(t *testing.T) {
 	var l Log
-	assert.NilError(t, l.Read(strings.NewReader(logs)))
+	_, err := l.Read(strings.NewReader(logs))
+	assert.NilError(t, err)
 	for request, want := range map[string]string{
 		"r1": "stream cut: target i1 left at 20:14:02.000; target i1: unexpected EOF",
 		"r2": "served whole",
@@ -38,3 +42,40 @@
 	assert.Equal(t, len(l.Explain("r1").Lines), 4, "the other instance's view of the target stays out")
 	assert.Equal(t, len(l.Explain("none").Lines), 0)
 }
+
+// Guards against an effect that stands before its cause because the wall clock
+// of one process is behind.
+func TestLinesAreOrderedByTheLogicalClock(t *testing.T) {
+	const skewed = `{"instance":"e1","request":"r1","target":"i1","time":"2026-10-01T20:14:09.000Z","clock":"1000.4","message":"placed"}
+{"instance":"e2","request":"r1","time":"2026-10-01T20:14:01.000Z","clock":"1000.12","message":"answered"}
+`
+	var l Log
+	_, err := l.Read(strings.NewReader(skewed))
+	assert.NilError(t, err)
+	story := l.Explain("r1")
+	assert.Equal(t, story.Lines[1].Message, "answered")
+	assert.Equal(t, story.Cause, "served whole")
+}
+
+// Guards against one line that is too long and hides those after it.
+func TestLongLinesAreSkipped(t *testing.T) {
+	var l Log
+	skipped, err := l.Read(strings.NewReader(`{"x":"` + strings.Repeat("x", timeline.MaxLineBytes) + "\"}\n" + logs))
+	assert.NilError(t, err)
+	assert.Equal(t, skipped, 1)
+	assert.Equal(t, l.Explain("r2").Cause, "served whole")
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(logs))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var l Log
+		_, err := l.Read(bytes.NewReader(text))
+		assert.NilError(t, err)
+		for _, line := range l.lines {
+			story := l.Explain(line.Request)
+			assert.Assert(t, story.Cause != "")
+			assert.Assert(t, len(story.Lines) > 0)
+		}
+	})
+}
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -80,7 +80,7 @@
 	for prefix, handler := range server.Handlers() {
 		internal.Handle(prefix, handler)
 	}
-	err = s.start(ctx, c.Internal, internal, nil)
+	err = s.start(ctx, c.Internal, env.Timeline.Clock().Middleware(internal), nil)
 	for address, handler := range c.Serve(server, env.Log) {
 		if err == nil {
 			err = s.start(ctx, address, handler, nil)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -45,6 +45,9 @@
 // processes can be put in order.
 const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
 
+// logClockField holds the logical clock of a log line.
+const logClockField = "clock"
+
 // NewEnv builds the environment for a checked configuration.
 func NewEnv(c Config, out io.Writer) (*Env, error) {
 	level, err := zerolog.ParseLevel(c.LogLevel)
@@ -52,8 +55,8 @@
 		level = zerolog.InfoLevel
 	}
 	zerolog.TimeFieldFormat = logTimeFormat
-	log := zerolog.New(out).Level(level).With().Timestamp().Str("instance", c.Name).Logger()
 	clock := timeline.NewClock(time.Now)
+	log := zerolog.New(out).Level(level).With().Timestamp().Str("instance", c.Name).Logger().Hook(stampLines(clock))
 	recorder, err := timeline.NewRecorder(clock, c.Name, c.EventsDir)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -70,6 +73,12 @@
 	}, nil
 }
 
+// stampLines adds the logical clock to each log line, so that the lines of
+// several processes can be put in one order.
+func stampLines(clock *timeline.Clock) zerolog.HookFunc {
+	return func(e *zerolog.Event, _ zerolog.Level, _ string) { e.Str(logClockField, clock.Now().String()) }
+}
+
 // PeerClient returns an HTTP client for calls to the system's processes.
 func PeerClient(peerKey string, clock *timeline.Clock) *http.Client {
 	base := &http.Transport{
--- a/internal/timeline/clock.go
+++ b/internal/timeline/clock.go
@@ -4,6 +4,7 @@
 package timeline
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"sync"
@@ -25,10 +26,12 @@
 
 // Before reports whether t orders before u.
 func (t Timestamp) Before(u Timestamp) bool {
-	if t.WallMicros != u.WallMicros {
-		return t.WallMicros < u.WallMicros
-	}
-	return t.Counter < u.Counter
+	return t.Compare(u) < 0
+}
+
+// Compare returns the order of t and u, as cmp.Compare does.
+func (t Timestamp) Compare(u Timestamp) int {
+	return cmp.Or(cmp.Compare(t.WallMicros, u.WallMicros), cmp.Compare(t.Counter, u.Counter))
 }
 
 // String formats t for the wire.
--- a/internal/timeline/recorder.go
+++ b/internal/timeline/recorder.go
@@ -1,7 +1,6 @@
 package timeline
 
 import (
-	"bufio"
 	"cmp"
 	"encoding/json"
 	"io"
@@ -17,7 +16,6 @@
 const (
 	maxFileBytes = 8 << 20 // the file is rotated once beyond this size
 	ringEvents   = 1024    // newest events kept in memory for the status page
-	maxLineBytes = 64 << 10
 )
 
 // fileSuffix names event files; rotated ones get a further ".1".
@@ -171,17 +169,16 @@
 }
 
 func read(f io.Reader) (events []Event, skipped int, err error) {
-	s := bufio.NewScanner(f)
-	s.Buffer(make([]byte, 0, maxLineBytes), maxLineBytes)
-	for s.Scan() {
+	malformed := 0
+	skipped, err = EachLine(f, func(line []byte) {
 		var e Event
-		if json.Unmarshal(s.Bytes(), &e) != nil {
-			skipped++
-			continue
+		if json.Unmarshal(line, &e) != nil {
+			malformed++
+			return
 		}
 		events = append(events, e)
-	}
-	return events, skipped, s.Err()
+	})
+	return events, skipped + malformed, err
 }
 
 // Merge orders events of several processes by hybrid logical time. Since each
@@ -189,8 +186,7 @@
 func Merge(events []Event) []Event {
 	slices.SortStableFunc(events, func(a, b Event) int {
 		return cmp.Or(
-			cmp.Compare(a.Time.WallMicros, b.Time.WallMicros),
-			cmp.Compare(a.Time.Counter, b.Time.Counter),
+			a.Time.Compare(b.Time),
 			cmp.Compare(a.Process, b.Process),
 			cmp.Compare(a.Sequence, b.Sequence),
 		)
