--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -30,6 +30,9 @@
 	maxBufferedBody = 4 << 20
 	// defaultDeadline applies to requests that name none.
 	defaultDeadline = time.Minute
+	// maxDeadline bounds what a caller can ask for; the route's timeout is far
+	// shorter.
+	maxDeadline = 24 * time.Hour
 	// startWait bounds the wait for the first manifest and for a first target
 	// of a service.
 	startWait = 400 * time.Millisecond
@@ -264,14 +267,20 @@
 		q.priority = q.account.Priority
 	}
 	q.tokens = parseTokens(r.Header.Get(f.config.Headers.Tokens), r.Header.Get(f.config.Headers.LengthHint))
-	left := defaultDeadline
-	if ms, err := strconv.ParseInt(r.Header.Get(f.config.Headers.Deadline), 10, 64); err == nil && ms >= 0 {
-		left = time.Duration(ms) * time.Millisecond
-	}
-	q.deadline = q.arrived.Add(min(left, route.Timeout))
+	q.deadline = q.arrived.Add(min(parseDeadline(r.Header.Get(f.config.Headers.Deadline)), route.Timeout))
 	return nil
 }
 
+// parseDeadline reads how many milliseconds the caller waits. What does not
+// parse counts as absent.
+func parseDeadline(value string) time.Duration {
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms < 0 {
+		return defaultDeadline
+	}
+	return time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
+}
+
 // statusOf is the status for an error. 503 and its like promise that nothing
 // ran and never will, so they are used only where that is known.
 func statusOf(e *resultcode.Error) int {
--- a/internal/forward/tokens.go
+++ b/internal/forward/tokens.go
@@ -23,12 +23,15 @@
 	return t
 }
 
+// maxTokens bounds a token count; no engine holds as many.
+const maxTokens = 1 << 30
+
 func positive(s string) int {
 	n, err := strconv.Atoi(strings.TrimSpace(s))
 	if err != nil || n < 0 {
 		return 0
 	}
-	return n
+	return min(n, maxTokens)
 }
 
 // expected is the memory the request is expected to need at its end.
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/forward"
 )
@@ -86,3 +88,23 @@
 	case <-time.After(100 * time.Millisecond):
 	}
 }
+
+func FuzzTake(f *testing.F) {
+	data, err := proto.Marshal(&api.FleetLoad{Name: "a", Targets: []*api.FleetTargetLoad{{Id: "t", Requests: 3, Tokens: 4000}}})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		r := &recorder{took: make(chan map[string]forward.Load, 1)}
+		x := &Exchange{self: "b", loads: r, metrics: tally.NoopScope}
+		heard := map[string]time.Time{}
+		x.take(datagram, heard, time.Now())
+		_, own := heard["b"]
+		assert.Assert(t, !own, "an own datagram was taken")
+		assert.Equal(t, len(heard), len(r.took))
+		for range heard {
+			for id, l := range <-r.took {
+				assert.Assert(t, l.Requests >= 0 && l.Tokens >= 0 && l.Incoming >= 0 && l.Starting >= 0, "%s: %+v", id, l)
+			}
+		}
+	})
+}
