--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test lint fmt-check proto demo faults bench slopes
+.PHONY: build test lint fmt-check proto demo faults soak bench slopes
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/... ./standin/cmd/... ./bench/cmd/...
@@ -34,6 +34,10 @@
 faults: build
 	scripts/faults.sh $(SEED) $(MINUTES)
 
+# One seed after the other, from SEED on, for MINUTES.
+soak: build
+	$(BIN)/standin-soak -seed $(SEED) -minutes $(MINUTES)
+
 bench: build
 	scripts/bench.sh $(SEED)
 
--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -37,6 +37,11 @@
 	frozen  bool
 }
 
+// NewProcess describes a program to start; its output goes to logPath.
+func NewProcess(name, binary, logPath string, args ...string) *Process {
+	return &Process{Name: name, binary: binary, args: args, logPath: logPath}
+}
+
 // pollInterval is how often a condition is looked at again.
 const pollInterval = 20 * time.Millisecond
 
--- /dev/null
+++ b/standin/cmd/standin-soak/main.go
@@ -0,0 +1,128 @@
+// Command standin-soak runs the fault soak: seeds one after the other or some
+// at a time, or the time to recover after all processes were killed.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/endivetrack/endivetrack/standin/soak"
+)
+
+type options struct {
+	binDir     string
+	seed       uint64
+	seeds      int
+	minutes    float64
+	parallel   int
+	seconds    float64
+	recoveries int
+	size       soak.Size
+}
+
+func main() {
+	var o options
+	flag.StringVar(&o.binDir, "bin", filepath.Dir(os.Args[0]), "folder of the system's programs")
+	flag.Uint64Var(&o.seed, "seed", 1, "first seed; the following runs count up")
+	flag.IntVar(&o.seeds, "seeds", 1, "number of seeds to run")
+	flag.Float64Var(&o.minutes, "minutes", 0, "run further seeds for so long, in place of -seeds")
+	flag.IntVar(&o.parallel, "parallel", 1, "deployments at one time")
+	flag.Float64Var(&o.seconds, "seconds", 30, "length of one seed's load")
+	flag.IntVar(&o.recoveries, "recoveries", 0, "measure so many recoveries after all processes were killed")
+	flag.IntVar(&o.size.Controls, "controls", soak.DefaultSize.Controls, "control instances of a deployment")
+	flag.IntVar(&o.size.Entries, "entries", soak.DefaultSize.Entries, "entry instances of a deployment")
+	flag.IntVar(&o.size.Targets, "targets", soak.DefaultSize.Targets, "targets of a deployment")
+	flag.Parse()
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	if o.recoveries > 0 {
+		return recoveries(o)
+	}
+	until := time.Now().Add(time.Duration(o.minutes * float64(time.Minute)))
+	var mu sync.Mutex
+	next, failed, ran := o.seed, 0, 0
+	take := func() (uint64, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		if o.minutes > 0 && time.Now().After(until) || o.minutes == 0 && next >= o.seed+uint64(o.seeds) {
+			return 0, false
+		}
+		next++
+		return next - 1, true
+	}
+	var all sync.WaitGroup
+	for worker := range o.parallel {
+		all.Go(func() {
+			for seed, ok := take(); ok; seed, ok = take() {
+				good := one(o, seed, worker)
+				mu.Lock()
+				ran++
+				if !good {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	fmt.Printf("soak: seeds=%d failed=%d\n", ran, failed)
+	if failed > 0 {
+		return fmt.Errorf("%d seeds failed", failed)
+	}
+	return nil
+}
+
+// one runs a seed and prints its outcome in one piece.
+func one(o options, seed uint64, worker int) bool {
+	r, err := soak.Run(context.Background(), soak.Options{
+		BinDir: o.binDir, Seed: seed, Size: o.size, Load: time.Duration(o.seconds * float64(time.Second)), Network: soak.Network(worker),
+	})
+	text := fmt.Sprintf("seed=%d requests=%d whole=%d refused=%d recovery=%v faults=%v violations=%d %s\n",
+		r.Seed, r.Requests, r.Whole, r.Refused, r.Recovery.Round(time.Millisecond), r.Faults, len(r.Violations), r.Files)
+	for _, v := range r.Violations {
+		text += "  violation: " + v + "\n"
+	}
+	if err != nil {
+		text += "  error: " + err.Error() + "\n"
+	}
+	fmt.Print(text)
+	return err == nil && len(r.Violations) == 0
+}
+
+func recoveries(o options) error {
+	var mu sync.Mutex
+	var took []time.Duration
+	var failed error
+	var all sync.WaitGroup
+	for worker := range o.parallel {
+		all.Go(func() {
+			times, err := soak.Recoveries(context.Background(), soak.Options{
+				BinDir: o.binDir, Seed: o.seed + uint64(worker), Size: o.size, Network: soak.Network(worker),
+			}, o.recoveries/o.parallel)
+			mu.Lock()
+			defer mu.Unlock()
+			took = append(took, times...)
+			if err != nil {
+				failed = err
+			}
+		})
+	}
+	all.Wait()
+	slices.Sort(took)
+	if len(took) > 0 {
+		fmt.Printf("recoveries: runs=%d p50=%v p95=%v worst=%v\n", len(took),
+			took[len(took)/2].Round(time.Millisecond), took[len(took)*95/100].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond))
+	}
+	return failed
+}
--- a/standin/import_test.go
+++ b/standin/import_test.go
@@ -16,7 +16,7 @@
 
 // allowed are the packages of the product that stand-ins may use; the others
 // would let a fault of the product hide itself from the checks.
-var allowed = []string{"api", "client", "internal/settings", "internal/resultcode", "internal/peerauth", "internal/process", "internal/operator", "standin"}
+var allowed = []string{"api", "client", "internal/settings", "internal/resultcode", "internal/peerauth", "internal/process", "internal/operator", "platform/platformtest", "standin"}
 
 // Guards against a product that depends on stand-ins, and against stand-ins
 // that share decisions with the product.
--- /dev/null
+++ b/standin/soak/soak.go
@@ -0,0 +1,203 @@
+// Package soak runs the real programs of a deployment on the users' platform as
+// separate processes, injects faults from outside in series and at the same
+// time, and checks the promises by what callers, operators and targets see.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/endivetrack/endivetrack/platform/platformtest"
+)
+
+// Course of one run.
+const (
+	startTimeout = 30 * time.Second
+	callerCount  = 4
+	// allKilledShare is the share of runs in which every process is killed at
+	// once after the other faults.
+	allKilledShare = 0.5
+)
+
+// Options of a run.
+type Options struct {
+	BinDir string
+	Seed   uint64
+	Size   Size
+	// Load is how long load and faults last.
+	Load time.Duration
+	// Network are the first three numbers of the loopback addresses; runs at
+	// the same time need different ones.
+	Network string
+}
+
+// Result is the outcome of a run.
+type Result struct {
+	Seed       uint64
+	Requests   int
+	Whole      int
+	Refused    int
+	Faults     map[string]int
+	Recovery   time.Duration // after all were killed; 0: they were not
+	Violations []string
+	Files      string // kept after a violation
+}
+
+// Run starts a deployment, plays one seed and checks the promises. An error
+// means that the check itself failed.
+func Run(ctx context.Context, o Options) (result Result, err error) {
+	result.Seed = o.Seed
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return result, err
+	}
+	d, op, err := prepare(ctx, o, dir)
+	if d != nil {
+		defer func() {
+			if stopped := d.stop(); err == nil {
+				err = stopped
+			}
+			if err == nil && len(result.Violations) == 0 {
+				err = os.RemoveAll(dir)
+				return
+			}
+			result.Files = dir
+		}()
+	}
+	if err != nil {
+		return result, err
+	}
+	play(ctx, o, d, op, &result)
+	return result, nil
+}
+
+// prepare starts a deployment and waits until it serves.
+func prepare(ctx context.Context, o Options, dir string) (*deployment, *operator, error) {
+	d, err := newDeployment(o, dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := d.start(); err != nil {
+		return d, nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	op := newOperator(d.calls)
+	if err := op.put(ctx, nil); err != nil {
+		return d, nil, err
+	}
+	if err := d.awaitService(ctx, keptKey); err != nil {
+		return d, nil, err
+	}
+	return d, op, d.endFirstStart()
+}
+
+// play sends load while operators work and faults happen, then checks.
+func play(ctx context.Context, o Options, d *deployment, op *operator, result *Result) {
+	rng := rand.New(rand.NewPCG(o.Seed, 0))
+	h := &history{}
+	chaos := &chaos{deployment: d, history: h, rng: rand.New(rand.NewPCG(o.Seed, 1)), counts: map[string]int{}}
+	loadCtx, cancel := context.WithTimeout(ctx, o.Load)
+	defer cancel()
+	var callers []*caller
+	var all sync.WaitGroup
+	for i := range callerCount {
+		c := newCaller(i, d, rand.New(rand.NewPCG(o.Seed, uint64(2+i))))
+		callers = append(callers, c)
+		all.Go(func() { c.run(loadCtx) })
+	}
+	all.Go(func() { op.run(loadCtx) })
+	all.Go(func() { chaos.run(loadCtx) })
+	all.Wait()
+	if rng.Float64() < allKilledShare {
+		took, err := chaos.killAll(ctx, keptKey)
+		if err != nil {
+			chaos.violation("not back within %v after all were killed: %v", platformtest.RecoverIn, err)
+		}
+		result.Recovery = took
+	}
+	settled, cancelSettled := context.WithTimeout(ctx, platformtest.RecoverIn)
+	defer cancelSettled()
+	if err := d.awaitService(settled, keptKey); err != nil {
+		chaos.violation("no service after the faults: %v", err)
+	}
+	op.checkKept(settled)
+	for _, i := range d.instances() {
+		if i.endedByItself() {
+			chaos.violation("%s ended by itself: %s", i.Instance.Name, i.Log(maxLogTail))
+		}
+	}
+	verdict := &checker{deployment: d, history: h, operator: op}
+	for _, c := range callers {
+		verdict.outcomes = append(verdict.outcomes, c.outcomes...)
+	}
+	verdict.check()
+	result.count(verdict.outcomes)
+	result.Faults = chaos.counts
+	result.Violations = slices.Concat(verdict.violations, chaos.violations, op.violations)
+}
+
+// maxLogTail bounds the part of a log that a violation quotes, in bytes.
+const maxLogTail = 500
+
+func newCaller(n int, d *deployment, rng *rand.Rand) *caller {
+	c := &caller{name: fmt.Sprintf("caller-%d", n+1), place: places[n%len(places)], calls: d.calls, dial: d.dial, rng: rng}
+	c.keys = func() string {
+		if n == 0 {
+			return revokedKey
+		}
+		return keptKey
+	}
+	return c
+}
+
+func (r *Result) count(outcomes []*outcome) {
+	for _, o := range outcomes {
+		r.Requests++
+		switch {
+		case o.whole:
+			r.Whole++
+		case o.refusedUnrun():
+			r.Refused++
+		}
+	}
+}
+
+// Recoveries kills all processes of one deployment again and again and returns
+// how long each time it took until every entry instance served.
+func Recoveries(ctx context.Context, o Options, times int) (took []time.Duration, err error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return nil, err
+	}
+	d, _, err := prepare(ctx, o, dir)
+	if d != nil {
+		defer func() {
+			if stopped := d.stop(); err == nil {
+				err = stopped
+			}
+			if err == nil {
+				err = os.RemoveAll(dir)
+			}
+		}()
+	}
+	if err != nil {
+		return nil, err
+	}
+	rng := rand.New(rand.NewPCG(o.Seed, 0))
+	chaos := &chaos{deployment: d, history: &history{}, rng: rng, counts: map[string]int{}}
+	for range times {
+		pause(ctx, time.Duration(rng.Int64N(int64(time.Second))))
+		one, err := chaos.killAll(ctx, keptKey)
+		if err != nil {
+			return took, fmt.Errorf("files in %s: %w", dir, err)
+		}
+		took = append(took, one)
+	}
+	return took, nil
+}
