--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -43,7 +43,7 @@
 	body string
 }
 
-func newFakeTarget(t *testing.T, id string, answer func(r seenRequest, c net.Conn)) *fakeTarget {
+func newFakeTarget(t testing.TB, id string, answer func(r seenRequest, c net.Conn)) *fakeTarget {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	f := &fakeTarget{id: id, address: l.Addr().String(), answer: answer}
@@ -148,7 +148,7 @@
 	return m
 }
 
-func newFixture(t *testing.T, service string, targets ...*fakeTarget) *fixture {
+func newFixture(t testing.TB, service string, targets ...*fakeTarget) *fixture {
 	f := &fixture{engines: &fakeEngines{}, targets: map[string]*fakeTarget{}}
 	f.holder = fleet.NewHolder(func([]byte) (*manifest.Manifest, error) { return testManifest(), nil }, time.Now)
 	f.Forwarder = New(Config{
@@ -178,7 +178,7 @@
 }
 
 // announce tells the forwarder of a target.
-func (f *fixture) announce(t *testing.T, x *fakeTarget, service, domain string, state fleet.TargetState) {
+func (f *fixture) announce(t testing.TB, x *fakeTarget, service, domain string, state fleet.TargetState) {
 	t.Helper()
 	f.seq++
 	f.holder.Merge(nil, []fleet.Announcement{{
