--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -59,6 +59,10 @@
 	done   chan struct{}
 	next   *handoff
 	handle string // of a copy that may still occupy the other target
+	// preCopies counts the copies of the present try that were complete while
+	// the run went on; firstCopy is how long the first one took.
+	preCopies int
+	firstCopy time.Duration
 }
 
 // startMover watches the leg's target.
@@ -184,13 +188,16 @@
 	if l == nil {
 		return nil, nil, nil
 	}
+	started := time.Now()
+	m.preCopies, m.firstCopy = 0, 0
 	next, err := m.moveTo(ctx, l)
 	if next != nil {
 		return next, l.endpoint, nil
 	}
 	l.release()
 	m.f.config.Metrics.Counter("forward.move_failed").Inc(1)
-	m.f.config.Logger.Info().Str("request", q.id).Str("from", source.id).Str("to", l.endpoint.id).Err(err).Msg("run not moved")
+	m.f.config.Logger.Info().Str("request", q.id).Str("from", source.id).Str("to", l.endpoint.id).
+		Int("pre_copies", m.preCopies).Dur("first_copy", m.firstCopy).Dur("took", time.Since(started)).Err(err).Msg("run not moved")
 	if m.handle != "" && ctx.Err() == nil {
 		// A run has one copy at most: another target is refused until it is
 		// given back.
@@ -230,6 +237,10 @@
 			return nil, err
 		}
 		m.handle = c.Handle
+		m.preCopies++
+		if n == 1 {
+			m.firstCopy = time.Since(began)
+		}
 		if n >= leastPreCopies && time.Since(began) < shortCopy {
 			break
 		}
@@ -243,7 +254,7 @@
 	m.f.config.Metrics.Counter("forward.moved").Inc(1)
 	m.f.observed.Record(moveLatency, time.Since(started))
 	m.f.config.Logger.Info().Str("request", q.id).Str("from", source.id).Str("to", l.endpoint.id).Int("events", c.Events).
-		Dur("took", time.Since(started)).AnErr("last_copy", err).Msg("run moved")
+		Int("pre_copies", m.preCopies).Dur("first_copy", m.firstCopy).Dur("took", time.Since(started)).AnErr("last_copy", err).Msg("run moved")
 	if err != nil {
 		// The run has stopped and its memory is still at the source only.
 		l.release()
