forward: a cold engine counts 2.5 times its load, falling for 2 s after

The view also forgot when a target became warm with each announcement. Change: placement multiplies the load of an engine by 2.5 while it is cold, falling to 1 within 2 s after; not for runs that are moved. Test: TestEnginesThatStartAreFilledSlowly.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -12,7 +12,8 @@
 	Announcement
 	// Heard is when the newest statement arrived.
 	Heard time.Time
-	// ColdUntil is when the target is warm by its own account.
+	// ColdUntil is when the target is, or became, warm by its own account; zero
+	// if it was never heard to be cold.
 	ColdUntil time.Time
 }
 
@@ -193,9 +194,22 @@
 		} else if a.Address == "" {
 			continue // a leave of a target that is not known here
 		}
-		targets[a.ID] = &Target{Announcement: a, Heard: now, ColdUntil: now.Add(a.Cold)}
+		targets[a.ID] = &Target{Announcement: a, Heard: now, ColdUntil: coldUntil(&a, old, now)}
 		changed = true
 	}
 	next.Targets = targets
 	return changed
 }
+
+// coldUntil is when a target is or became warm; old is what was known of it.
+func coldUntil(a *Announcement, old *Target, now time.Time) time.Time {
+	switch {
+	case a.Cold > 0:
+		return now.Add(a.Cold)
+	case old == nil || old.Born != a.Born:
+		return time.Time{}
+	case old.ColdUntil.After(now):
+		return now // it is warm sooner than it said
+	}
+	return old.ColdUntil
+}
--- a/internal/forward/decide_test.go
+++ b/internal/forward/decide_test.go
@@ -19,10 +19,14 @@
 }
 
 func target(id, domain string, cold time.Duration) *fleet.Target {
-	return &fleet.Target{
+	t := &fleet.Target{
 		Announcement: fleet.Announcement{ID: id, Service: "llm", Address: id, FailureDomain: domain, Born: 1, Sequence: 1, Slots: 4, State: fleet.Ready},
-		Heard:        testNow, ColdUntil: testNow.Add(cold),
+		Heard:        testNow,
 	}
+	if cold > 0 {
+		t.ColdUntil = testNow.Add(cold)
+	}
+	return t
 }
 
 func viewOf(targets ...*fleet.Target) *fleet.View {
@@ -76,6 +80,26 @@
 	assert.Equal(t, f.table.acquire(f.table.near(engineRequest(1000), nil), testNow).endpoint.id, "a1")
 }
 
+// Plays an engine that has just started beside busy ones: guards against a pile
+// of prompts on it while it is slow, and against leaving it empty.
+func TestEnginesThatStartAreFilledSlowly(t *testing.T) {
+	tb := testTable(viewOf(target("a1", "r-a", 0), target("a2", "r-a", 0), target("new", "r-a", time.Second)))
+	tb.endpoints["a1"].tokens, tb.endpoints["a2"].tokens = 3000, 3000
+	q := engineRequest(500)
+	q.service.ColdPerSecond = 0
+	fill := func(at time.Time) int {
+		before := tb.endpoints["new"].requests
+		for range 8 {
+			tb.acquire(tb.near(q, nil), at).started()
+		}
+		return tb.endpoints["new"].requests - before
+	}
+	cold := fill(testNow)
+	assert.Assert(t, cold >= 2 && cold <= 4, "%d of 8 while it is cold", cold)
+	afterwards := fill(testNow.Add(time.Second + warmUp))
+	assert.Assert(t, afterwards > cold, "%d of 8 once it has caught up", afterwards)
+}
+
 // Plays targets that all come back cold: guards against more than they bear
 // from all instances together.
 func TestColdTargetsGetTheirShare(t *testing.T) {
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -21,6 +21,10 @@
 	// costs as much as a full target: an engine reads it in about the time
 	// within which a first event is due.
 	startingTokens = 12_000
+	// coldSlowdown is how many times longer a cold engine takes for the same
+	// work, warmUp how long after its cold time it still catches up.
+	coldSlowdown = 2.5
+	warmUp       = 2 * time.Second
 	// roomShare is the part of an engine's memory that a moved run may fill.
 	roomShare = 0.95
 )
@@ -100,7 +104,7 @@
 // cost is what a place at e costs.
 func cost(e *endpoint, d *demand, now time.Time) float64 {
 	there := e.total()
-	c := load(e, d.q) + d.far.incoming*float64(there.Incoming)
+	c := load(e, d.q)*slowdown(e, d, now) + d.far.incoming*float64(there.Incoming)
 	switch {
 	case e.region != d.from.Region:
 		c += d.far.region
@@ -116,6 +120,19 @@
 	return c
 }
 
+// slowdown is how many times longer e takes for the same work. It answers
+// engines that have just started: they look empty to all instances at once, and
+// a pile of prompts keeps them slow beyond their cold time. Runs that are moved
+// bring no prompt to read.
+func slowdown(e *endpoint, d *demand, now time.Time) float64 {
+	if d.q.service.Engine == nil || d.copied {
+		return 1
+	}
+	behind := e.target.ColdUntil.Add(warmUp).Sub(now)
+	share := min(1, max(0, behind.Seconds()/warmUp.Seconds()))
+	return 1 + (coldSlowdown-1)*share
+}
+
 // load is the part of e's capacity that is taken once q is there.
 func load(e *endpoint, q *request) float64 {
 	engine, there := q.service.Engine, e.total()
