entry: callers' idle time, header time and header size follow the manifest

Cause: the limits were decoded and not used; idle connections were closed after 60 s and heads after 5 s or 32 KiB, whatever the manifest says, so that callers who keep to a longer limit would be cut. Change: connections that wait are noted by state and closed by the manifest's limits at that moment; a head over the limit is refused with 1011.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -83,6 +83,15 @@
 	return view.Entries
 }
 
+// Limits returns what the manifest lets callers send; unbounded without one.
+func (h *Holder) Limits() manifest.Limits {
+	view, _ := h.View()
+	if view.Manifest == nil {
+		return manifest.Limits{}
+	}
+	return view.Manifest.Limits()
+}
+
 // index returns the index of the replicated state.
 func (h *Holder) index() uint64 {
 	h.mu.Lock()
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -55,6 +55,20 @@
 	return release, nil
 }
 
+// lineBytes is what a header line has beside its name and value.
+const lineBytes = len(": \r\n")
+
+// headerBytes is the size of a request's header lines.
+func headerBytes(r *http.Request) int {
+	n := len("Host") + len(r.Host) + lineBytes
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + lineBytes
+		}
+	}
+	return n
+}
+
 func (f *Forwarder) takeBuffer(n int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -140,7 +140,7 @@
 		},
 		Services: []manifest.Service{{Name: "core", MaxConns: 100}, {Name: "llm", MaxConns: 100, Engine: engine}},
 		Accounts: []manifest.ClientAccount{{Name: "account", Keys: []string{"key"}}},
-		Limits:   manifest.Limits{BodyBytes: 1000},
+		Limits:   manifest.Limits{BodyBytes: 1000, HeaderBytes: 2000},
 	}
 	m.Routes[3].Resumable = true
 	m.Routes[4].Regions = []string{"s"}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -201,6 +201,9 @@
 	if view.Manifest == nil {
 		return q, none, resultcode.Newf(resultcode.ControlUnavailable, "no manifest yet")
 	}
+	if most := view.Manifest.Limits().HeaderBytes; most > 0 && headerBytes(r) > most {
+		return q, none, resultcode.Newf(resultcode.HeaderTooLarge, "the head of the request exceeds %d bytes", most)
+	}
 	if err := f.route(q, r, view.Manifest); err != nil {
 		return q, none, err
 	}
--- a/internal/forward/plain_test.go
+++ b/internal/forward/plain_test.go
@@ -179,6 +179,9 @@
 	resp, _, err := f.call(t, "POST", "/write/", strings.Repeat("x", 1001))
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, 413)
+	resp, _, err = f.call(t, "GET", "/read/", "", "X-Long", strings.Repeat("x", 2001))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 431)
 }
 
 // Guards against new work for a target that leaves, and for a failure domain
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -20,8 +20,6 @@
 	bufferShare = 0.2
 	// defaultBuffer is used without a memory limit.
 	defaultBuffer = 64 << 20
-	// callerIdle is how long a caller's idle connection is kept.
-	callerIdle = time.Minute
 	// leaveWait is how long a stopping instance serves on: the callers' longest
 	// use of an address answer and the time for it to go out.
 	leaveWait = 3*directory.TTL + 1500*time.Millisecond
@@ -77,7 +75,9 @@
 	go c.watchReloads(loops, env, follower.SetSeeds)
 
 	s := newServers()
-	err = s.start(ctx, c.Callers, f, func(h *http.Server) { h.IdleTimeout = callerIdle })
+	conns := newCallerConns(holder.Limits)
+	go conns.run(loops)
+	err = s.start(ctx, c.Callers, f, conns.serve)
 	if err == nil {
 		err = s.start(ctx, c.Ready, c.ReadyHandler(f.Ready), nil)
 	}
