explain: the outcome need not be a request's last line

Change: the newest line that tells an outcome decides; why the run was not moved is told. Test: r6 of TestCauses.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -123,13 +123,30 @@
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.order.Compare(b.order) })
 }
 
+// outcomes are the messages that tell how a request ended. Other lines may
+// follow, such as that of a copy that was still being made.
+var outcomes = []string{"stream whole", "answered", "refused", "stream cut", "caller left"}
+
+// outcome returns the line that tells how a request ended, or its last line.
+func outcome(own []Line) Line {
+	for _, x := range slices.Backward(own) {
+		if slices.Contains(outcomes, x.Message) {
+			return x
+		}
+	}
+	return own[len(own)-1]
+}
+
 // cause names what decided the outcome.
 func cause(own, story []Line, ended bool) string {
-	final := own[len(own)-1]
-	failed := ""
+	final := outcome(own)
+	failed, unsaved := "", ""
 	for _, x := range own {
-		if x.Message == "attempt failed" {
+		switch x.Message {
+		case "attempt failed":
 			failed = attemptCause(x)
+		case "run not moved":
+			unsaved = fmt.Sprintf("; the run was not moved to %s: %s", x.To, x.Error)
 		}
 	}
 	switch final.Message {
@@ -142,9 +159,9 @@
 		return fmt.Sprintf("refused with code %d: %s", final.Code, final.Error)
 	case "stream cut":
 		if left := departure(story); left != "" {
-			return "stream cut: " + left + "; " + failed
+			return "stream cut: " + left + "; " + failed + unsaved
 		}
-		return "stream cut: " + failed
+		return "stream cut: " + failed + unsaved
 	case "caller left":
 		return "the caller left before the answer"
 	case "attempt failed":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -22,6 +22,9 @@
 {"instance":"e2","request":"r4","target":"i2","time":"2026-10-01T20:14:05.000Z","message":"placed"}
 {"instance":"e2","time":"2026-10-01T20:14:09.000Z","message":"started"}
 {"instance":"e1","request":"r5","target":"i2","time":"2026-10-01T20:14:05.000Z","message":"placed"}
+{"instance":"e1","request":"r6","target":"i6","error":"unexpected EOF","time":"2026-10-01T20:14:06.000Z","message":"attempt failed"}
+{"instance":"e1","request":"r6","time":"2026-10-01T20:14:06.000Z","message":"stream cut"}
+{"instance":"e1","request":"r6","from":"i6","to":"i7","error":"EOF","time":"2026-10-01T20:14:06.001Z","message":"run not moved"}
 {"instance":"e1","time":"2026-10-01T20:14:09.000Z","message":"stopped"}
 `
 
@@ -35,6 +38,7 @@
 		"r2": "served whole",
 		"r3": "refused with code 2004: 2004 NO_TARGET: none",
 		"r4": "the entry instance ended while it served the request (its next line is a start without a stop)",
+		"r6": "stream cut: target i6: unexpected EOF; the run was not moved to i7: EOF",
 		"r5": "no line tells the end: the logs stop while the request was being served",
 	} {
 		assert.Equal(t, l.Explain(request).Cause, want)
