forward: a stopping instance refuses streams that it cannot finish

Callers hold an address for 3 s; the instance serves on for 4.5 s. Test: TestStoppingInstanceRefusesLateStreams.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -214,6 +214,7 @@
 // retryPauses tell a caller when to come back after a refusal.
 const (
 	pauseNoTarget   = 300 * time.Millisecond
+	pauseDraining   = 100 * time.Millisecond // another instance serves
 	pauseNoManifest = 500 * time.Millisecond
 	pauseOverloaded = 700 * time.Millisecond
 )
@@ -222,6 +223,8 @@
 	switch c {
 	case resultcode.NoTarget:
 		return pauseNoTarget
+	case resultcode.Draining:
+		return pauseDraining
 	case resultcode.ControlUnavailable:
 		return pauseNoManifest
 	case resultcode.Overloaded, resultcode.RetryBudget:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,6 +36,10 @@
 	// startWait bounds the wait for the first manifest and for a first target
 	// of a service.
 	startWait = 400 * time.Millisecond
+	// lastStream is how long after the start of a planned stop new streams are
+	// taken. Callers that keep an address longest come until about then; a
+	// stream that begins later would be cut by the end of the process.
+	lastStream = 2800 * time.Millisecond
 	// deadlineMargin is kept back from what a target is told, so that its own
 	// timeout comes before the caller's.
 	deadlineMargin = 20 * time.Millisecond
@@ -96,9 +100,10 @@
 	observed *observer
 	budget   *budget
 
-	mu       sync.Mutex
-	stopping bool
-	buffer   int64
+	mu sync.Mutex
+	// stoppedAt is when the planned stop began; zero before it.
+	stoppedAt time.Time
+	buffer    int64
 }
 
 // New returns a forwarder.
@@ -126,20 +131,28 @@
 	view, _ := f.config.Holder.View()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return view.Manifest != nil && !f.stopping
+	return view.Manifest != nil && f.stoppedAt.IsZero()
 }
 
 // Stop makes every further answer ask the caller to close its connection.
 func (f *Forwarder) Stop() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.stopping = true
+	f.stoppedAt = time.Now()
 }
 
 func (f *Forwarder) isStopping() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.stopping
+	return !f.stoppedAt.IsZero()
+}
+
+// takesStreams reports whether a new stream can still end before the process
+// does.
+func (f *Forwarder) takesStreams() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stoppedAt.IsZero() || time.Since(f.stoppedAt) < lastStream
 }
 
 // request is one caller attempt.
@@ -207,6 +220,9 @@
 	if err := f.route(q, r, view.Manifest); err != nil {
 		return q, none, err
 	}
+	if q.route.Kind == manifest.Streaming && !f.takesStreams() {
+		return q, none, resultcode.Newf(resultcode.Draining, "the instance is stopping and takes no new streams")
+	}
 	limit := view.Manifest.Limits().BodyBytes
 	if limit <= 0 {
 		limit = maxBufferedBody
--- a/internal/forward/plain_test.go
+++ b/internal/forward/plain_test.go
@@ -274,3 +274,22 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.Assert(t, resp.Close)
 }
+
+// Guards against a long stream that a stopping instance takes and cannot finish
+// before its process ends.
+func TestStoppingInstanceRefusesLateStreams(t *testing.T) {
+	x := newFakeTarget(t, "i1", streams(3, 0))
+	f := newFixture(t, "llm", x)
+	f.Stop()
+	resp, body, err := f.call(t, "POST", "/long/", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, body, events(1, 3), "streams that come early in the stop are served")
+	f.mu.Lock()
+	f.stoppedAt = time.Now().Add(-lastStream)
+	f.mu.Unlock()
+	resp, _, err = f.call(t, "POST", "/long/", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.Close && resp.Header.Get("Retry-After") != "")
+	assert.Equal(t, len(x.seen()), 1)
+}
