--- a/standin/soak/history.go
+++ b/standin/soak/history.go
@@ -5,11 +5,9 @@
 	"time"
 )
 
-// Things that faults hit beside single processes.
-const (
-	// everyTarget stands for faults of targets and of the links to them.
-	everyTarget = "targets"
-)
+// everyTarget stands for all targets and the links to them, beside the names of
+// instances.
+const everyTarget = "targets"
 
 // span is a time in which a fault lasted; until is zero while it lasts.
 type span struct {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -99,47 +99,65 @@
 
 // play sends load while operators work and faults happen, then checks.
 func play(ctx context.Context, o Options, d *deployment, op *operator, result *Result) {
-	rng := rand.New(rand.NewPCG(o.Seed, 0))
 	h := &history{}
-	chaos := &chaos{deployment: d, history: h, rng: rand.New(rand.NewPCG(o.Seed, 1)), counts: map[string]int{}}
-	loadCtx, cancel := context.WithTimeout(ctx, o.Load)
+	c := &chaos{deployment: d, history: h, rng: rand.New(rand.NewPCG(o.Seed, 1)), counts: map[string]int{}}
+	callers := load(ctx, o, d, op, c)
+	if rand.New(rand.NewPCG(o.Seed, 0)).Float64() < allKilledShare {
+		result.Recovery = c.endAll(ctx)
+	}
+	c.settle(ctx, op)
+	verdict := &checker{deployment: d, history: h, operator: op}
+	for _, x := range callers {
+		verdict.outcomes = append(verdict.outcomes, x.outcomes...)
+	}
+	verdict.check()
+	result.count(verdict.outcomes)
+	result.Faults = c.counts
+	result.Violations = slices.Concat(verdict.violations, c.violations, op.violations)
+}
+
+// load runs callers, operators and faults at the same time and waits for their
+// end.
+func load(ctx context.Context, o Options, d *deployment, op *operator, c *chaos) []*caller {
+	ctx, cancel := context.WithTimeout(ctx, o.Load)
 	defer cancel()
 	var callers []*caller
 	var all sync.WaitGroup
 	for i := range callerCount {
-		c := newCaller(i, d, rand.New(rand.NewPCG(o.Seed, uint64(2+i))))
-		callers = append(callers, c)
-		all.Go(func() { c.run(loadCtx) })
+		x := newCaller(i, d, rand.New(rand.NewPCG(o.Seed, uint64(2+i))))
+		callers = append(callers, x)
+		all.Go(func() { x.run(ctx) })
 	}
-	all.Go(func() { op.run(loadCtx) })
-	all.Go(func() { chaos.run(loadCtx) })
+	all.Go(func() { op.run(ctx) })
+	all.Go(func() { c.run(ctx) })
 	all.Wait()
-	if rng.Float64() < allKilledShare {
-		took, err := chaos.killAll(ctx, keptKey)
-		if err != nil {
-			chaos.violation("not back within %v after all were killed: %v", platformtest.RecoverIn, err)
-		}
-		result.Recovery = took
+	return callers
+}
+
+// endAll kills all processes at once and returns how long the system took to
+// serve again.
+func (c *chaos) endAll(ctx context.Context) time.Duration {
+	took, err := c.killAll(ctx, keptKey)
+	if err != nil {
+		c.violation("not back within %v after all were killed: %v", platformtest.RecoverIn, err)
 	}
-	settled, cancelSettled := context.WithTimeout(ctx, platformtest.RecoverIn)
-	defer cancelSettled()
-	if err := d.awaitService(settled, keptKey); err != nil {
-		chaos.violation("no service after the faults: %v", err)
+	return took
+}
+
+// settle checks that everything serves after the faults, that what was
+// acknowledged is there, and that no process has ended by itself.
+func (c *chaos) settle(ctx context.Context, op *operator) {
+	ctx, cancel := context.WithTimeout(ctx, platformtest.RecoverIn)
+	defer cancel()
+	if err := c.awaitService(ctx, keptKey); err != nil {
+		c.violation("no service after the faults: %v", err)
 	}
-	op.checkKept(settled)
-	for _, i := range d.instances() {
+	op.checkKept(ctx)
+	for _, i := range c.instances() {
 		if i.endedByItself() {
-			chaos.violation("%s ended by itself: %s", i.Instance.Name, i.Log(maxLogTail))
+			c.violation("%s ended by itself: %s", i.Instance.Name, i.Log(maxLogTail))
 		}
 	}
-	verdict := &checker{deployment: d, history: h, operator: op}
-	for _, c := range callers {
-		verdict.outcomes = append(verdict.outcomes, c.outcomes...)
-	}
-	verdict.check()
-	result.count(verdict.outcomes)
-	result.Faults = chaos.counts
-	result.Violations = slices.Concat(verdict.violations, chaos.violations, op.violations)
 }
 
 // maxLogTail bounds the part of a log that a violation quotes, in bytes.
