--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -129,9 +129,7 @@
 // Ready reports whether callers can be served.
 func (f *Forwarder) Ready() bool {
 	view, _ := f.config.Holder.View()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return view.Manifest != nil && f.stoppedAt.IsZero()
+	return view.Manifest != nil && !f.isStopping()
 }
 
 // Stop makes every further answer ask the caller to close its connection.
@@ -304,11 +302,8 @@
 // ran and never will, so they are used only where that is known.
 func statusOf(e *resultcode.Error) int {
 	status := e.Code.HTTPStatus()
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		if e.Execution != resultcode.NotRun {
-			return http.StatusBadGateway
-		}
+	if promises(status) && e.Execution != resultcode.NotRun {
+		return http.StatusBadGateway
 	}
 	return status
 }
