sleep: one wait that a context cuts short

forward, fleet (three places), the entry, the session, the client and the retry of protected writes each had their own timer and select. No change of behaviour.

--- a/client/call.go
+++ b/client/call.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/endivetrack/endivetrack/internal/sleep"
 )
 
 const (
@@ -59,7 +61,7 @@
 		if err.permanent() || err.Execution == Ran || err.Execution == Unknown && !q.repeatable() {
 			break
 		}
-		if !wait(ctx, max(err.RetryAfter, retryPause)) {
+		if !sleep.For(ctx, max(err.RetryAfter, retryPause)) {
 			break
 		}
 	}
--- a/client/client.go
+++ b/client/client.go
@@ -5,7 +5,6 @@
 package client
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -97,18 +96,3 @@
 
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
-
-// wait pauses before another attempt; false when ctx ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/client/stream.go
+++ b/client/stream.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/endivetrack/endivetrack/internal/sleep"
 	"github.com/endivetrack/endivetrack/internal/stream"
 )
 
@@ -229,7 +230,7 @@
 func (s *Stream) reconnect(cause error) error {
 	s.drop()
 	for {
-		if !wait(s.ctx, s.seq.Delay()) {
+		if !sleep.For(s.ctx, s.seq.Delay()) {
 			return s.ctx.Err()
 		}
 		err := s.resume()
@@ -243,7 +244,7 @@
 		if err.Code == CodeUnknownGeneration {
 			kind = stream.Unknown
 		}
-		if !wait(s.ctx, err.RetryAfter) {
+		if !sleep.For(s.ctx, err.RetryAfter) {
 			return s.ctx.Err()
 		}
 		if s.seq.Step(time.Now(), stream.Input{Conn: s.seq.Conn(), Kind: kind}) != stream.Reconnect {
@@ -268,7 +269,7 @@
 	s.drop()
 	mayHaveRun := last != nil && last.Execution != NotRun
 	for ; s.attempts > 0; s.attempts-- {
-		if last != nil && !wait(s.ctx, max(last.RetryAfter, retryPause)) {
+		if last != nil && !sleep.For(s.ctx, max(last.RetryAfter, retryPause)) {
 			return s.ctx.Err()
 		}
 		err := s.start()
--- a/internal/entry/command/write.go
+++ b/internal/entry/command/write.go
@@ -13,6 +13,7 @@
 	"github.com/endivetrack/endivetrack/internal/entry/target"
 	"github.com/endivetrack/endivetrack/internal/faultpoint"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/sleep"
 	"github.com/endivetrack/endivetrack/internal/stream"
 )
 
@@ -130,14 +131,7 @@
 	default:
 		return false
 	}
-	timer := time.NewTimer(controlRetryDelay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return ctx.Err() == nil
-	}
+	return sleep.For(ctx, controlRetryDelay) && ctx.Err() == nil
 }
 
 // bodyHash covers everything that makes the request what it is, each part with
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/endivetrack/endivetrack/internal/process"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 	"github.com/endivetrack/endivetrack/internal/session"
+	"github.com/endivetrack/endivetrack/internal/sleep"
 )
 
 // Limits bound what one instance takes on.
@@ -198,7 +199,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.cfg.Limits.DrainTimeoutMS)*time.Millisecond)
 	defer cancel()
 	e.waitUntil(ctx, handoverTimeout, e.shownAsDraining)
-	sleep(ctx, time.Duration(float64(e.cfg.AddressTTL)*(1+addressMargin)))
+	sleep.For(ctx, time.Duration(float64(e.cfg.AddressTTL)*(1+addressMargin)))
 	e.waitUntil(ctx, handoverTimeout, e.ownsNothing)
 	e.cfg.Env.Timeline.Record("handed_over")
 	if err := e.server.Shutdown(ctx); err != nil {
@@ -229,15 +230,6 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for !done() && ctx.Err() == nil {
-		sleep(ctx, handoverPoll)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		sleep.For(ctx, handoverPoll)
 	}
 }
--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/sleep"
 )
 
 // Pace of fetching manifests.
@@ -66,10 +67,7 @@
 		if f.fetchNearest(ctx) {
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(fetchPause):
-		}
+		sleep.For(ctx, fetchPause)
 	}
 }
 
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/sleep"
 )
 
 // Pace of following.
@@ -142,10 +143,7 @@
 			continue
 		}
 		f.metrics.Counter("fleet.poll_failed").Inc(1)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		sleep.For(ctx, pause)
 		pause = min(2*pause, maxRetryPause)
 	}
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -13,6 +13,7 @@
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/agreement"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/sleep"
 )
 
 // Bounds of the control instance's calls.
@@ -280,12 +281,7 @@
 // be told: they come in bursts, and each answer costs every watcher a call.
 func (s *Server) coalesce(ctx context.Context) {
 	live, _ := s.watchers.Callable()
-	timer := time.NewTimer(min(maxCoalesce, time.Duration(len(live))*coalesceEach))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	sleep.For(ctx, min(maxCoalesce, time.Duration(len(live))*coalesceEach))
 }
 
 func (s *Server) answer(req *api.FleetWatchRequest, state *State, news []Announcement, last uint64) *api.FleetWatchResponse {
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/endivetrack/endivetrack/internal/manifest"
+	"github.com/endivetrack/endivetrack/internal/sleep"
 )
 
 // Pace of moving a run off a target that leaves.
@@ -150,7 +151,7 @@
 // pauses, does not wait behind the first copies of others.
 func (m *mover) move(ctx context.Context) *handoff {
 	source := m.source.endpoint
-	if !pause(ctx, m.f.table.turn(source, m.run.q)) {
+	if !sleep.For(ctx, m.f.table.turn(source, m.run.q)) {
 		return nil
 	}
 	exclude := []*endpoint{source}
@@ -172,7 +173,7 @@
 			exclude = append(exclude, tried)
 			continue
 		}
-		if !pause(ctx, movePause) {
+		if !sleep.For(ctx, movePause) {
 			return nil
 		}
 	}
@@ -268,15 +269,3 @@
 	defer cancel()
 	return m.f.config.Engines.Move(ctx, m.source.endpoint.address, m.run.q.id, l.endpoint.address, last)
 }
-
-// pause waits; false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -14,6 +14,7 @@
 
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/sleep"
 	"github.com/endivetrack/endivetrack/internal/timeline"
 )
 
@@ -163,7 +164,7 @@
 	if err != nil {
 		s.addresses.failed(address, s.cfg.Now())
 		s.metrics.renewalsFailed.Inc(1)
-		sleep(ctx, failPause)
+		sleep.For(ctx, failPause)
 		return
 	}
 	s.metrics.reopened.Inc(1)
@@ -238,7 +239,7 @@
 				s.addresses.silent(outstanding, a.address, s.cfg.Now())
 				return
 			}
-			sleep(ctx, failPause)
+			sleep.For(ctx, failPause)
 		case <-late:
 		}
 		if late = nil; calls < most {
@@ -294,13 +295,3 @@
 	}
 	return false
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
