soak: one start and end of a deployment for both kinds of run

Run and Recoveries each held the folder, the start and the end with small variations. No change of behaviour but one: the files of a deployment that could not be written are told as well.

--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -52,28 +53,37 @@
 // means that the check itself failed.
 func Run(ctx context.Context, o Options) (result Result, err error) {
 	result.Seed = o.Seed
+	result.Files, err = withDeployment(ctx, o, func(d *deployment, op *operator) (keep bool, err error) {
+		play(ctx, o, d, op, &result)
+		return len(result.Violations) > 0, nil
+	})
+	return result, err
+}
+
+// withDeployment starts a deployment, uses it and ends it. It returns the
+// folder of its files if use wants them kept or anything failed.
+func withDeployment(ctx context.Context, o Options, use func(*deployment, *operator) (keep bool, err error)) (files string, err error) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
-		return result, err
+		return "", err
 	}
+	keep := false
 	d, op, err := prepare(ctx, o, dir)
-	if d != nil {
-		defer func() {
-			if stopped := d.stop(); err == nil {
-				err = stopped
-			}
-			if err == nil && len(result.Violations) == 0 {
-				err = os.RemoveAll(dir)
-				return
-			}
-			result.Files = dir
-		}()
-	}
+	defer func() {
+		if d != nil {
+			err = errors.Join(err, d.stop())
+		}
+		if keep || err != nil {
+			files = dir
+			return
+		}
+		err = os.RemoveAll(dir)
+	}()
 	if err != nil {
-		return result, err
+		return "", err
 	}
-	play(ctx, o, d, op, &result)
-	return result, nil
+	keep, err = use(d, op)
+	return "", err
 }
 
 // prepare starts a deployment and waits until it serves.
@@ -189,33 +199,21 @@
 // Recoveries kills all processes of one deployment again and again and returns
 // how long each time it took until every entry instance served.
 func Recoveries(ctx context.Context, o Options, times int) (took []time.Duration, err error) {
-	dir, err := os.MkdirTemp("", "soak")
-	if err != nil {
-		return nil, err
-	}
-	d, _, err := prepare(ctx, o, dir)
-	if d != nil {
-		defer func() {
-			if stopped := d.stop(); err == nil {
-				err = stopped
+	files, err := withDeployment(ctx, o, func(d *deployment, _ *operator) (keep bool, err error) {
+		rng := rand.New(rand.NewPCG(o.Seed, 0))
+		chaos := &chaos{deployment: d, history: &history{}, rng: rng, counts: map[string]int{}}
+		for range times {
+			pause(ctx, time.Duration(rng.Int64N(int64(time.Second))))
+			one, err := chaos.killAll(ctx, keptKey)
+			if err != nil {
+				return true, err
 			}
-			if err == nil {
-				err = os.RemoveAll(dir)
-			}
-		}()
-	}
-	if err != nil {
-		return nil, err
-	}
-	rng := rand.New(rand.NewPCG(o.Seed, 0))
-	chaos := &chaos{deployment: d, history: &history{}, rng: rng, counts: map[string]int{}}
-	for range times {
-		pause(ctx, time.Duration(rng.Int64N(int64(time.Second))))
-		one, err := chaos.killAll(ctx, keptKey)
-		if err != nil {
-			return took, fmt.Errorf("files in %s: %w", dir, err)
+			took = append(took, one)
 		}
-		took = append(took, one)
+		return false, nil
+	})
+	if err != nil {
+		return took, fmt.Errorf("files in %q: %w", files, err)
 	}
 	return took, nil
 }
