--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -11,7 +11,7 @@
 type BudgetConfig struct {
 	Window time.Duration
 	Ratio  float64
-	Slack  int
+	Slack  float64
 }
 
 // Fractions of BudgetConfig.Ratio and BudgetConfig.Slack that all instances
@@ -55,7 +55,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	requests, retries := b.windowCounts(service, now)
-	allowed := ratioShare*b.config.Ratio*float64(requests) + slackShare*float64(b.config.Slack)/float64(max(1, instances))
+	allowed := ratioShare*b.config.Ratio*float64(requests) + slackShare*b.config.Slack/float64(max(1, instances))
 	if float64(retries+1) > allowed {
 		return false
 	}
--- a/internal/forward/decide_test.go
+++ b/internal/forward/decide_test.go
@@ -184,7 +184,7 @@
 				n++
 			}
 		}
-		assert.Assert(t, float64(n) <= c.Ratio*float64(perWindow)+float64(c.Slack), "%d repeats in a window", n)
+		assert.Assert(t, float64(n) <= c.Ratio*float64(perWindow)+c.Slack, "%d repeats in a window", n)
 	}
 	assert.Assert(t, len(repeats) > 0)
 }
--- a/internal/manifest/index.go
+++ b/internal/manifest/index.go
@@ -83,16 +83,20 @@
 // Pick selects one of the route's services by weight. For a random choice, point is
 // a random number in [0, 1).
 func (r *Route) Pick(point float64) string {
-	total := 0
+	total := 0.0
 	for _, s := range r.Split {
 		total += s.Weight
 	}
-	remaining := int(point * float64(total))
+	remaining := point * total
+	last := ""
 	for _, s := range r.Split {
 		if remaining < s.Weight {
 			return s.Service
 		}
 		remaining -= s.Weight
+		if s.Weight > 0 {
+			last = s.Service
+		}
 	}
-	return r.Split[len(r.Split)-1].Service
+	return last // rounding may leave a remainder at the end
 }
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -63,7 +63,7 @@
 // Share is one service of a route and its weight.
 type Share struct {
 	Service string
-	Weight  int
+	Weight  float64
 }
 
 // Service is a named set of targets.
@@ -155,7 +155,7 @@
 	case r.Timeout <= 0:
 		return invalidError("route %q: the timeout must be positive", r.Name)
 	}
-	total := 0
+	total := 0.0
 	for _, s := range r.Split {
 		if !services[s.Service] {
 			return invalidError("route %q: unknown service %q", r.Name, s.Service)
