standin/netfault: receive timestamps are on before the first connection is accepted

Change: NewListener opens a socket pair that asks for timestamps, keeps it for the life of the process and returns once a timestamp arrived. The soak reports an unknown time of arrival as a violation; a test shows it.

--- a/standin/engine/http_test.go
+++ b/standin/engine/http_test.go
@@ -39,7 +39,9 @@
 	change(&c)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	e, listener := New(c, l.Addr().String(), Hooks{}), netfault.NewListener(l)
+	listener, err := netfault.NewListener(l)
+	assert.NilError(t, err)
+	e := New(c, l.Addr().String(), Hooks{})
 	ctx, cancel := context.WithCancel(context.Background())
 	server := &http.Server{Handler: e.Handler(listener), ConnContext: listener.ConnContext}
 	done := make(chan struct{}, 2)
--- a/standin/host/host.go
+++ b/standin/host/host.go
@@ -83,7 +83,11 @@
 	if err != nil {
 		return err
 	}
-	return serve(o, build(l.Addr().String(), hooks), netfault.NewListener(l), key)
+	listener, err := netfault.NewListener(l)
+	if err != nil {
+		return err
+	}
+	return serve(o, build(l.Addr().String(), hooks), listener, key)
 }
 
 func serve(o Options, target Target, l *netfault.Listener, key string) error {
--- a/standin/netfault/conn.go
+++ b/standin/netfault/conn.go
@@ -20,9 +20,13 @@
 	conns map[*conn]bool
 }
 
-// NewListener wraps l, which must accept TCP connections.
-func NewListener(l net.Listener) *Listener {
-	return &Listener{Listener: l, conns: map[*conn]bool{}}
+// NewListener wraps l, which must accept TCP connections. It fails if the kernel adds
+// no receive timestamps, which ArrivedAt needs.
+func NewListener(l net.Listener) (*Listener, error) {
+	if err := enableTimestamps(); err != nil {
+		return nil, err
+	}
+	return &Listener{Listener: l, conns: map[*conn]bool{}}, nil
 }
 
 // Accept waits for the next connection and returns it wrapped, so that Swallow
--- a/standin/netfault/netfault_test.go
+++ b/standin/netfault/netfault_test.go
@@ -131,7 +131,8 @@
 	const readDelay = 300 * time.Millisecond
 	tcpListener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := NewListener(tcpListener)
+	l, err := NewListener(tcpListener)
+	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	c, err := net.Dial("tcp", tcpListener.Addr().String())
 	assert.NilError(t, err)
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -137,6 +137,10 @@
 		return
 	}
 	for _, e := range c.executionsByID[o.id] {
+		if e.arrivedAt.IsZero() {
+			c.violation("%s: the time at which it reached %s is not known", o.id, e.target)
+			continue
+		}
 		if e.domain != evacuatedDomain || (!back.IsZero() && e.arrivedAt.After(back)) {
 			continue
 		}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -81,6 +81,10 @@
 		}, ""},
 		"domain out":     {func(c *checker, o *outcome) { c.operator.evacuationAckedAt = o.sentAt.Add(-6 * time.Second) }, "taken out"},
 		"domain in time": {func(c *checker, o *outcome) { c.operator.evacuationAckedAt = o.sentAt.Add(-4 * time.Second) }, ""},
+		"arrival not known": {func(c *checker, o *outcome) {
+			c.operator.evacuationAckedAt = o.sentAt.Add(-6 * time.Second)
+			c.executionLog.executions[0].arrivedAt = time.Time{}
+		}, "not known"},
 		"fault of the entry instance": {func(c *checker, o *outcome) {
 			c.operator.evacuationAckedAt = o.sentAt.Add(-6 * time.Second)
 			c.history.spans = append(c.history.spans, &faultSpan{subject: "entry-1", from: o.sentAt.Add(-3 * time.Second), until: o.sentAt.Add(-time.Second)})
--- a/standin/soak/target.go
+++ b/standin/soak/target.go
@@ -70,12 +70,16 @@
 	if err != nil {
 		return nil, err
 	}
+	listener, err := netfault.NewListener(serverListener)
+	if err != nil {
+		_ = serverListener.Close()
+		return nil, err
+	}
 	relayListener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		_ = serverListener.Close()
 		return nil, err
 	}
-	listener := netfault.NewListener(serverListener)
 	ctx, stop := context.WithCancel(context.Background())
 	t := &target{
 		self: platformtest.Target{
@@ -144,7 +148,7 @@
 		return // an incomplete request is not executed
 	}
 	t.executionLog.add(execution{
-		id: id, target: t.self.ID, domain: t.self.FailureDomain, service: t.self.Service, arrivedAt: time.UnixMicro(netfault.ArrivedAt(r)),
+		id: id, target: t.self.ID, domain: t.self.FailureDomain, service: t.self.Service, arrivedAt: arrivalTime(r),
 	})
 	if t.self.Service == modelService {
 		t.sendEvents(w, r, id)
@@ -154,6 +158,16 @@
 	_, _ = io.WriteString(w, expectedResponse(id, body)) // error ignored: the caller may have disconnected
 }
 
+// arrivalTime returns the time at which the kernel received a request, or the zero
+// time if it is not known, which the checker reports as a violation.
+func arrivalTime(r *http.Request) time.Time {
+	at := netfault.ArrivedAt(r)
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.UnixMicro(at)
+}
+
 // expectedResponse returns the only correct response body for a request.
 func expectedResponse(id string, body []byte) string {
 	return fmt.Sprintf("%s %08x", id, crc32.ChecksumIEEE(body))
