forward: a head or a stray body without end is bounded

Cause: http.ReadResponse keeps a whole head in memory and has no limit, and a stray response's body was read to its end. A target that sends bytes without end filled an entry instance's memory at link speed until the caller's deadline (50 to 110 MB in 0.7 s on loopback), since only the product's own targets had a limit on the head.

Change: that limit moves to netconn.HeadLimiter and serves both paths (64 KiB on the platform's); a stray body is read up to 1 MiB, then the connection is closed.

--- a/internal/entry/target/engine.go
+++ b/internal/entry/target/engine.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/endivetrack/endivetrack/internal/netconn"
 	"github.com/endivetrack/endivetrack/internal/stream"
 )
 
@@ -210,7 +211,8 @@
 // readResponse reads the header of the final response in bounded memory and skips
 // informational (1xx) responses.
 func readResponse(c net.Conn, r *http.Request) (*http.Response, error) {
-	limited := &headerLimitReader{r: c, remaining: maxHeaderBytes}
+	limited := netconn.NewHeadLimiter(c, stream.ErrTooLong)
+	limited.BeginHead(maxHeaderBytes)
 	buffered := bufio.NewReaderSize(limited, readBufferBytes)
 	for {
 		response, err := http.ReadResponse(buffered, r)
@@ -218,28 +220,8 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
-			limited.remaining = -1
+			limited.EndHead()
 			return response, nil
 		}
 	}
 }
-
-// headerLimitReader fails with stream.ErrTooLong after the remaining bytes were read. A
-// negative number of remaining bytes means no limit.
-type headerLimitReader struct {
-	r         io.Reader
-	remaining int
-}
-
-// Read reads from the underlying reader within the limit.
-func (l *headerLimitReader) Read(p []byte) (int, error) {
-	if l.remaining < 0 {
-		return l.r.Read(p)
-	}
-	if l.remaining == 0 {
-		return 0, stream.ErrTooLong
-	}
-	n, err := l.r.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	return n, err
-}
--- a/internal/entry/target/plain.go
+++ b/internal/entry/target/plain.go
@@ -10,6 +10,9 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/endivetrack/endivetrack/internal/netconn"
+	"github.com/endivetrack/endivetrack/internal/stream"
 )
 
 // Limits on skipping crossed responses. A crossed response belongs to another request; the
@@ -109,10 +112,10 @@
 // readMatchingResponse returns the response to this request. If q.SkipCrossed is
 // set, it discards late responses to other requests.
 func (q Request) readMatchingResponse(c net.Conn, r *http.Request) (*Response, error) {
-	limited := &headerLimitReader{r: c}
+	limited := netconn.NewHeadLimiter(c, stream.ErrTooLong)
 	buffered := bufio.NewReaderSize(limited, readBufferBytes)
 	for crossed := range maxCrossed {
-		limited.remaining = maxHeaderBytes
+		limited.BeginHead(maxHeaderBytes)
 		response, err := http.ReadResponse(buffered, r)
 		if err != nil && crossed > 0 {
 			return nil, fmt.Errorf("%w: %w", ErrCrossed, err)
@@ -120,7 +123,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("read the target's response: %w", err)
 		}
-		limited.remaining = -1
+		limited.EndHead()
 		body, err := io.ReadAll(io.LimitReader(response.Body, q.MaxResponseBytes+1))
 		matches := response.Header.Get(RequestIDHeader) == q.RequestID
 		switch {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -19,6 +19,14 @@
 // other requests are discarded while the response to a request is awaited.
 const maxStrayResponses = 4
 
+// Limits on what a target may send before its response is accepted, in bytes.
+const (
+	maxResponseHeadBytes = 64 << 10
+	// maxStrayBytes bounds the body of a response to another request. A longer one
+	// is not read to its end, and the connection is closed.
+	maxStrayBytes = 1 << 20
+)
+
 // notSentError means that no byte of the request was sent to the target.
 type notSentError struct{ err error }
 
@@ -32,6 +40,7 @@
 	errNotUsable = errors.New("the target accepts no new requests")
 	// errUnrelatedResponse means that the response is not one to the request that was sent.
 	errUnrelatedResponse = errors.New("not a response to this request")
+	errHeadTooLong       = errors.New("the head of the response is too long")
 )
 
 // resumePoint tells a target where to continue a stream.
@@ -94,7 +103,9 @@
 func (f *Forwarder) readResponseHead(conn *targetConn, q *request) (*http.Response, error) {
 	r := &http.Request{Method: q.method}
 	for range maxStrayResponses {
+		conn.head.BeginHead(maxResponseHeadBytes)
 		resp, err := http.ReadResponse(conn.reader, r)
+		conn.head.EndHead()
 		if err != nil {
 			return nil, err
 		}
@@ -105,9 +116,13 @@
 			return resp, nil
 		}
 		f.config.Metrics.Counter("forward.crossed").Inc(1)
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
+		if err != nil {
 			return nil, err
 		}
+		if n == maxStrayBytes {
+			return nil, errUnrelatedResponse
+		}
 	}
 	return nil, errUnrelatedResponse
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -31,6 +31,8 @@
 // targetConn is a connection to a target. It serves one request at a time.
 type targetConn struct {
 	net.Conn
+	// head bounds the heads of responses; reader reads from it.
+	head   *netconn.HeadLimiter
 	reader *bufio.Reader
 	// usedAt is when the last response was complete.
 	usedAt time.Time
@@ -51,7 +53,8 @@
 		l.table.addConns(l.endpoint, -1)
 		return nil, err
 	}
-	return &targetConn{Conn: raw, reader: bufio.NewReaderSize(raw, connReadBufferBytes), idleTimeout: maxIdleTime}, nil
+	head := netconn.NewHeadLimiter(raw, errHeadTooLong)
+	return &targetConn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, connReadBufferBytes), idleTimeout: maxIdleTime}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection that is
