loads: an instance without load sends no datagrams and does not wake up

Cause: each of 291 entry instances sent its loads, mostly empty, to all others every 0.24 to 4.9 s, woke every 60 ms to see whether they had changed, and walked all endpoints for each datagram it received: about 300 datagrams a second and instance.

Change: loads are sent after they have changed and while there are any; empty ones three times. Storing a peer's loads touches only the targets that they name; silent peers are looked for once a second. A test plays a minute without load.

--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -50,13 +50,32 @@
 	t := f.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, e := range t.endpoints {
-		if l, ok := loads[id]; ok {
-			e.otherLoads[instance] = l
-		} else {
+	for id := range t.loadedBy[instance] {
+		if e := t.endpoints[id]; e != nil {
 			delete(e.otherLoads, instance)
 		}
 	}
+	for id, l := range loads {
+		if e := t.endpoints[id]; e != nil {
+			e.otherLoads[instance] = l
+		}
+	}
+	if len(loads) == 0 {
+		delete(t.loadedBy, instance)
+		return
+	}
+	t.loadedBy[instance] = loads
+}
+
+// LoadsChanged returns a channel that receives a value after Loads has changed.
+func (f *Forwarder) LoadsChanged() <-chan struct{} { return f.table.loadsChanged }
+
+// noteLoadChange announces a change of this instance's own loads.
+func (t *table) noteLoadChange() {
+	select {
+	case t.loadsChanged <- struct{}{}:
+	default: // a change is already announced
+	}
 }
 
 // loadAndAge returns the load that all instances together place on an endpoint,
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -64,12 +64,14 @@
 
 	mu               sync.Mutex
 	view             *fleet.View
-	endpoints        map[string]*endpoint // endpoints by target ID
-	changedEndpoints []*endpoint          // endpoints added or changed since the last takeChangedEndpoints
+	endpoints        map[string]*endpoint       // endpoints by target ID
+	loadedBy         map[string]map[string]Load // loads of other instances by target ID, by instance name
+	loadsChanged     chan struct{}
+	changedEndpoints []*endpoint // endpoints added or changed since the last takeChangedEndpoints
 }
 
 func newTable(self Location, regions map[string]string) *table {
-	return &table{self: self, regions: regions, endpoints: map[string]*endpoint{}, view: &fleet.View{}}
+	return &table{self: self, regions: regions, endpoints: map[string]*endpoint{}, view: &fleet.View{}, loadedBy: map[string]map[string]Load{}, loadsChanged: make(chan struct{}, 1)}
 }
 
 // syncEndpoints updates the endpoints from a view of the fleet (this instance's
@@ -173,6 +175,7 @@
 	e.requests++
 	e.tokens += tokens
 	e.prefillTokens += q.tokens.prompt
+	t.noteLoadChange()
 	return &lease{table: t, endpoint: e, tokens: tokens, prefillTokens: q.tokens.prompt}
 }
 
@@ -243,6 +246,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e.incomingCopies += n
+	t.noteLoadChange()
 }
 
 // markFailed marks an endpoint as suspect after a failed attempt, for a time
@@ -252,6 +256,7 @@
 	defer t.mu.Unlock()
 	e.suspectUntil = now.Add(min(suspectMin<<min(e.failures, 5), suspectMax))
 	e.failures++
+	t.noteLoadChange()
 }
 
 // clearFailures clears the failures of an endpoint after a complete response.
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -65,7 +65,7 @@
 	})
 	self := fleet.Watcher{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain, Address: c.CallerAddress, InternalAddress: c.InternalAddress}
 	follower := fleet.NewFollower(self, c.Seeds, views, env.PeerClient, env.Log, env.Metrics)
-	exchange, err := loads.Listen(c.Name, c.InternalAddress, views.Entries, forwarder, env.Metrics)
+	exchange, err := loads.Listen(c.Name, c.FailureDomain, c.InternalAddress, views.Entries, forwarder, env.Metrics)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -12,6 +12,7 @@
 	"errors"
 	"maps"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/forward"
+	"github.com/endivetrack/endivetrack/internal/sleep"
 )
 
 // Intervals and limits of the exchange.
@@ -36,13 +38,15 @@
 	remoteRate = 50
 	// refreshAfter is the time after which an unchanged load is sent again.
 	refreshAfter = 500 * time.Millisecond
+	// maxEmptySends is how often an instance without load says so; a datagram may be lost.
+	maxEmptySends = 3
 	// expireAfter is the time after which the loads of a silent peer are discarded. It exceeds
 	// the interval to a peer in another failure domain even with several hundred peers.
 	expireAfter = 10 * time.Second
 	// expireUnlistedAfter replaces expireAfter for a peer that no control instance lists.
 	expireUnlistedAfter = time.Second
-	// readTimeout is the longest time between two checks for silent peers.
-	readTimeout = time.Second
+	// silentCheckInterval is the time between two checks for silent peers.
+	silentCheckInterval = time.Second
 	// maxDatagram is the maximum size of a datagram in bytes.
 	maxDatagram = 32 << 10
 )
@@ -52,21 +56,26 @@
 type LoadTable interface {
 	Loads() map[string]forward.Load
 	SetLoads(instance string, loads map[string]forward.Load)
+	// LoadsChanged returns a channel that receives a value after the loads have
+	// changed.
+	LoadsChanged() <-chan struct{}
 }
 
 // Exchange sends this instance's loads to its peers and receives theirs.
 type Exchange struct {
-	self    string
-	entries func() map[string]fleet.Watcher
-	loads   LoadTable
-	conn    *net.UDPConn
-	metrics tally.Scope
+	self string
+	// failureDomain is the failure domain of this instance.
+	failureDomain string
+	entries       func() map[string]fleet.Watcher
+	loads         LoadTable
+	conn          *net.UDPConn
+	metrics       tally.Scope
 }
 
 // Listen opens a UDP socket at address for the exchange of the instance named
 // self. entries returns the current entry instances by name. Run must be called
 // to use the exchange; it closes the socket.
-func Listen(self, address string, entries func() map[string]fleet.Watcher, loads LoadTable, metrics tally.Scope) (*Exchange, error) {
+func Listen(self, failureDomain, address string, entries func() map[string]fleet.Watcher, loads LoadTable, metrics tally.Scope) (*Exchange, error) {
 	resolved, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, err
@@ -75,10 +84,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange{self: self, entries: entries, loads: loads, conn: conn, metrics: metrics}, nil
+	return &Exchange{self: self, failureDomain: failureDomain, entries: entries, loads: loads, conn: conn, metrics: metrics}, nil
 }
 
-// Run exchanges loads until ctx ends.
+// Run exchanges loads until ctx ends. An instance without load sends nothing and does
+// not wake up.
 func (x *Exchange) Run(ctx context.Context) {
 	var receiver sync.WaitGroup
 	receiver.Go(func() { x.receiveLoads(ctx) })
@@ -86,22 +96,30 @@
 	defer x.conn.Close()
 	local := peerGroup{interval: localInterval, rate: localRate}
 	remote := peerGroup{interval: remoteInterval, rate: remoteRate}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(localInterval):
-		}
+	for x.awaitLoads(ctx, local.idle() && remote.idle()) {
 		local.peers, remote.peers = x.peers()
 		loads, now := x.loads.Loads(), time.Now()
-		for _, c := range []*peerGroup{&local, &remote} {
-			if c.markSentIfDue(loads, now) {
-				x.sendLoads(c.peers, loads)
+		for _, g := range []*peerGroup{&local, &remote} {
+			if g.markSentIfDue(loads, now) {
+				x.sendLoads(g.peers, loads)
 			}
 		}
 	}
 }
 
+// awaitLoads waits for localInterval and, if idle is set, first for a change of the
+// loads. It reports false when ctx has ended.
+func (x *Exchange) awaitLoads(ctx context.Context, idle bool) bool {
+	if idle {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-x.loads.LoadsChanged():
+		}
+	}
+	return sleep.For(ctx, localInterval)
+}
+
 // peerGroup is a set of peers that are sent loads at the same interval.
 type peerGroup struct {
 	interval   time.Duration // minimum time between two datagrams to a peer
@@ -109,31 +127,47 @@
 	peers      []string
 	lastSent   map[string]forward.Load
 	lastSentAt time.Time
+	// emptySends is how many times in a row empty loads were sent.
+	emptySends int
 }
 
+// idle reports whether the group needs no datagram until the loads change: the
+// peers know that this instance has none.
+func (g *peerGroup) idle() bool { return g.emptySends >= maxEmptySends }
+
 // markSentIfDue reports whether the loads are to be sent to the group now. If
 // so, it records them as sent.
-func (c *peerGroup) markSentIfDue(loads map[string]forward.Load, now time.Time) bool {
-	age := now.Sub(c.lastSentAt)
-	if len(c.peers) == 0 || age < max(c.interval, time.Duration(len(c.peers))*time.Second/time.Duration(c.rate)) {
+func (g *peerGroup) markSentIfDue(loads map[string]forward.Load, now time.Time) bool {
+	switch {
+	case len(loads) > 0:
+		g.emptySends = 0
+	case len(g.peers) == 0:
+		g.emptySends = maxEmptySends
+	}
+	if len(g.peers) == 0 {
 		return false
 	}
-	if maps.Equal(loads, c.lastSent) && age < refreshAfter {
+	age := now.Sub(g.lastSentAt)
+	if g.idle() || age < max(g.interval, time.Duration(len(g.peers))*time.Second/time.Duration(g.rate)) {
 		return false
 	}
-	c.lastSent, c.lastSentAt = loads, now
+	if maps.Equal(loads, g.lastSent) && age < refreshAfter {
+		return false
+	}
+	if len(loads) == 0 {
+		g.emptySends++
+	}
+	g.lastSent, g.lastSentAt = loads, now
 	return true
 }
 
 // peers returns the addresses of the other entry instances, in this failure
 // domain and in others.
 func (x *Exchange) peers() (local, remote []string) {
-	entries := x.entries()
-	ownDomain := entries[x.self].FailureDomain
-	for name, w := range entries {
+	for name, w := range x.entries() {
 		switch {
 		case name == x.self || w.InternalAddress == "":
-		case w.FailureDomain == ownDomain:
+		case w.FailureDomain == x.failureDomain:
 			local = append(local, w.InternalAddress)
 		default:
 			remote = append(remote, w.InternalAddress)
@@ -155,9 +189,9 @@
 		return
 	}
 	for _, peer := range peers {
-		resolved, err := net.ResolveUDPAddr("udp4", peer)
+		address, err := netip.ParseAddrPort(peer)
 		if err == nil {
-			_, err = x.conn.WriteToUDP(data, resolved)
+			_, err = x.conn.WriteToUDPAddrPort(data, address)
 		}
 		if err != nil {
 			x.metrics.Counter("loads.not_sent").Inc(1)
@@ -169,23 +203,42 @@
 func (x *Exchange) receiveLoads(ctx context.Context) {
 	lastReceived := map[string]time.Time{}
 	buffer := make([]byte, maxDatagram)
+	nextCheck := time.Now()
 	for ctx.Err() == nil {
-		if err := x.conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+		if err := x.conn.SetReadDeadline(readDeadline(lastReceived)); err != nil {
 			return
 		}
-		n, _, err := x.conn.ReadFromUDP(buffer)
+		n, _, err := x.conn.ReadFromUDPAddrPort(buffer)
 		now := time.Now()
 		if err == nil {
 			x.handleDatagram(buffer[:n], lastReceived, now)
 		} else if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		for name, at := range lastReceived {
-			_, listed := x.entries()[name]
-			if age := now.Sub(at); age > expireAfter || (!listed && age > expireUnlistedAfter) {
-				x.loads.SetLoads(name, nil)
-				delete(lastReceived, name)
-			}
+		if !now.Before(nextCheck) {
+			x.discardSilent(lastReceived, now)
+			nextCheck = now.Add(silentCheckInterval)
+		}
+	}
+}
+
+// readDeadline returns when to check for silent peers if no datagram arrives: never
+// while no peer's loads are stored.
+func readDeadline(lastReceived map[string]time.Time) time.Time {
+	if len(lastReceived) == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(silentCheckInterval)
+}
+
+// discardSilent removes the loads of the peers that have sent none for too long.
+func (x *Exchange) discardSilent(lastReceived map[string]time.Time, now time.Time) {
+	entries := x.entries()
+	for name, at := range lastReceived {
+		_, listed := entries[name]
+		if age := now.Sub(at); age > expireAfter || (!listed && age > expireUnlistedAfter) {
+			x.loads.SetLoads(name, nil)
+			delete(lastReceived, name)
 		}
 	}
 }
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -24,11 +24,17 @@
 
 func (r *loadRecorder) Loads() map[string]forward.Load { return r.own }
 
+func (r *loadRecorder) LoadsChanged() <-chan struct{} {
+	changed := make(chan struct{}, 1)
+	changed <- struct{}{}
+	return changed
+}
+
 func (r *loadRecorder) SetLoads(_ string, loads map[string]forward.Load) { r.received <- loads }
 
 func runExchange(t *testing.T, name string, own map[string]forward.Load, peers map[string]fleet.Watcher) (*loadRecorder, string) {
 	r := &loadRecorder{own: own, received: make(chan map[string]forward.Load, 100)}
-	x, err := Listen(name, "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, r, tally.NoopScope)
+	x, err := Listen(name, "a", "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, r, tally.NoopScope)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -50,7 +56,7 @@
 	want := map[string]forward.Load{"i1": {Requests: 2, Tokens: 300, IncomingCopies: 1, PrefillTokens: 40, Suspect: true}}
 	peers := map[string]fleet.Watcher{"b": {Name: "b", InternalAddress: address}, "a": {Name: "a", InternalAddress: "127.0.0.1:1"}}
 	ctx, cancel := context.WithCancel(context.Background())
-	x, err := Listen("a", "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, &loadRecorder{own: want}, tally.NoopScope)
+	x, err := Listen("a", "a", "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, &loadRecorder{own: want}, tally.NoopScope)
 	assert.NilError(t, err)
 	done := make(chan struct{})
 	go func() {
@@ -111,3 +117,26 @@
 		}
 	})
 }
+
+// Guards against an instance without load that sends datagrams or wakes up
+// periodically: with hundreds of instances these cost more than the requests.
+func TestInstanceWithoutLoadFallsSilent(t *testing.T) {
+	g := peerGroup{interval: localInterval, rate: localRate, peers: []string{"a"}}
+	now := time.Unix(1000, 0)
+	sent := 0
+	for range 1000 {
+		now = now.Add(localInterval)
+		if g.markSentIfDue(map[string]forward.Load{}, now) {
+			sent++
+		}
+	}
+	assert.Equal(t, sent, maxEmptySends)
+	assert.Assert(t, g.idle())
+	assert.Assert(t, g.markSentIfDue(map[string]forward.Load{"i": {Requests: 1}}, now))
+	assert.Assert(t, !g.idle())
+	alone := peerGroup{interval: localInterval, rate: localRate}
+	assert.Assert(t, !alone.markSentIfDue(map[string]forward.Load{"i": {Requests: 1}}, now))
+	assert.Assert(t, !alone.idle(), "a peer that is listed later must be told of the load")
+	alone.markSentIfDue(map[string]forward.Load{}, now)
+	assert.Assert(t, alone.idle())
+}
