fleet: callers are sent to four entry instances a failure domain, and changes are gathered

Each change of a target woke all of them, up to six times, since leaves are relayed to all control instances; each call that waited for the acknowledgement of a leave looked at all watchers whenever one of them polled.

Change: control instances list, for callers and for the exchange of loads, the first four instances of each failure domain by a hash of their names; the others stay ready. Changes are gathered before a watcher is called: 50 ms if urgent, 250 ms if not (relayed, cold, slots), 400 ms at instances that callers are not sent to. Duplicate reports are dropped before the view is copied. Polling loops start on demand in place of a tick of 100 ms.

Also mended, each with a test: a leave is no longer acknowledged if no watcher has applied it (two live watchers sufficed); the version of the list covers address, region and failure domain; control instances that none lists are forgotten, so that later ones are polled after 32 replacements.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -18,6 +19,8 @@
 const (
 	// pollWait is how long a control instance may hold a poll without changes.
 	pollWait = time.Second
+	// idlePollWait replaces pollWait at an instance to which callers are not sent.
+	idlePollWait = 2 * time.Second
 	// pollTimeoutMargin is added to pollWait for the timeout of a poll.
 	pollTimeoutMargin = 600 * time.Millisecond
 	// pollRetryDelay follows a failed poll and doubles with each further one.
@@ -39,23 +42,28 @@
 	logger     zerolog.Logger
 	metrics    tally.Scope
 
-	mu          sync.Mutex
-	self        Watcher
+	mu   sync.Mutex
+	self Watcher
+	// selfContext ends when self changes.
+	selfContext context.Context
+	endSelf     context.CancelFunc
 	seeds       []string
 	lastListed  map[string]time.Time // time of the last response that listed a control instance; keyed by address, like polling and reachable
 	polling     map[string]bool
 	reachable   map[string]distance // distances of the control instances that respond
-	selfChanged chan struct{}       // closed when self, the description of this instance, changes
+	wake        chan struct{}       // receives a value when a poll loop may have to be started
 	workers     sync.WaitGroup
 }
 
 // NewFollower returns a Follower that finds the control instances through the
 // addresses in seeds. It reports self to them as the watcher.
 func NewFollower(self Watcher, seeds []string, views *ViewStore, peerClient *http.Client, logger zerolog.Logger, metrics tally.Scope) *Follower {
-	return &Follower{
+	f := &Follower{
 		views: views, peerClient: peerClient, logger: logger, metrics: metrics, self: self, seeds: seeds,
-		lastListed: map[string]time.Time{}, polling: map[string]bool{}, reachable: map[string]distance{}, selfChanged: make(chan struct{}),
+		lastListed: map[string]time.Time{}, polling: map[string]bool{}, reachable: map[string]distance{}, wake: make(chan struct{}, 1),
 	}
+	f.selfContext, f.endSelf = context.WithCancel(context.Background())
+	return f
 }
 
 // SetSeeds replaces the configured addresses of control instances.
@@ -63,6 +71,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.seeds = seeds
+	f.wakeUp()
+}
+
+// wakeUp makes Run check which control instances have no poll loop.
+func (f *Follower) wakeUp() {
+	select {
+	case f.wake <- struct{}{}:
+	default: // a check is already due
+	}
 }
 
 // Leave reports immediately to the control instances that callers must no longer
@@ -71,14 +88,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.self.Leaving = true
-	close(f.selfChanged)
-	f.selfChanged = make(chan struct{})
+	f.endSelf()
+	f.selfContext, f.endSelf = context.WithCancel(context.Background())
 }
 
 // Run polls the control instances until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	tick := time.NewTicker(pollRetryDelay)
-	defer tick.Stop()
 	f.workers.Go(func() { f.fetchManifests(ctx) })
 	defer f.workers.Wait()
 	for {
@@ -86,7 +101,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-f.wake:
 		}
 	}
 }
@@ -125,6 +140,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		delete(f.polling, address)
+		f.wakeUp()
 	}()
 	client := api.NewFleetQueryProtobufClient("http://"+address, f.peerClient)
 	position := position{control: address}
@@ -170,32 +186,18 @@
 // it.
 func (f *Follower) poll(ctx context.Context, client api.FleetQuery, p *position) error {
 	f.mu.Lock()
-	self, selfChanged := f.self, f.selfChanged
+	self, selfContext := f.self, f.selfContext
 	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, pollWait+pollTimeoutMargin)
+	wait := f.pollWait()
+	ctx, cancel := context.WithTimeout(ctx, wait+pollTimeoutMargin)
 	defer cancel()
-	stop := make(chan struct{})
-	defer close(stop)
-	interrupted := false
-	var mu sync.Mutex
-	go func() {
-		select {
-		case <-selfChanged:
-			mu.Lock()
-			interrupted = true
-			mu.Unlock()
-			cancel()
-		case <-stop:
-		}
-	}()
+	defer context.AfterFunc(selfContext, cancel)()
 	resp, err := client.Watch(ctx, &api.FleetWatchRequest{
 		Watcher: watcherToProto(&self), StateIndex: f.views.stateIndex(),
-		Epoch: p.epoch, Cursor: p.cursor, EntriesVersion: p.entriesVersion, WaitMs: uint32(pollWait.Milliseconds()),
+		Epoch: p.epoch, Cursor: p.cursor, EntriesVersion: p.entriesVersion, WaitMs: uint32(wait.Milliseconds()),
 	})
 	if err != nil {
-		mu.Lock()
-		defer mu.Unlock()
-		if interrupted {
+		if selfContext.Err() != nil {
 			return nil // Leave interrupted the call; the next poll reports that this instance leaves
 		}
 		return err
@@ -204,6 +206,14 @@
 	return nil
 }
 
+// pollWait returns how long a control instance may hold the next poll.
+func (f *Follower) pollWait() time.Duration {
+	if _, serving := f.views.Entries()[f.self.Name]; serving {
+		return pollWait
+	}
+	return idlePollWait
+}
+
 // applyResponse merges a response into the view store and advances the position.
 func (f *Follower) applyResponse(resp *api.FleetWatchResponse, p *position) {
 	var state *State
@@ -225,12 +235,22 @@
 		f.views.setEntries(p.control, entries)
 		p.entriesVersion = resp.GetEntriesVersion()
 	}
+	f.noteListed(resp.GetControl(), time.Now())
+}
+
+// noteListed records the control instances that a response lists, and forgets those
+// that none has listed for unlistedPollTime.
+func (f *Follower) noteListed(addresses []string, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
-	for _, address := range resp.GetControl() {
-		if len(f.lastListed) < 2*maxControlInstances || !f.lastListed[address].IsZero() {
-			f.lastListed[address] = now
+	maps.DeleteFunc(f.lastListed, func(_ string, at time.Time) bool { return now.Sub(at) >= unlistedPollTime })
+	for _, address := range addresses {
+		if _, known := f.lastListed[address]; !known && len(f.lastListed) >= 2*maxControlInstances {
+			continue
+		}
+		f.lastListed[address] = now
+		if !f.polling[address] {
+			f.wakeUp()
 		}
 	}
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -44,6 +44,7 @@
 type change struct {
 	number uint64
 	record *record
+	urgent bool
 }
 
 // record is the newest announcement of a target and its place in the history.
@@ -61,8 +62,9 @@
 }
 
 // Announce records an announcement. A reader whose cursor has reached the returned
-// number has received the announcement. ok is false if the registry is full.
-func (r *Registry) Announce(a Announcement) (number uint64, ok bool) {
+// number has received the announcement. ok is false if the registry is full. relayed
+// is set if another control instance received the announcement from the target.
+func (r *Registry) Announce(a Announcement, relayed bool) (number uint64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -74,11 +76,11 @@
 		r.markReplacedTargetsGone(&a)
 		rec = &record{Announcement: a}
 		r.records[a.ID] = rec
-		r.publish(rec)
+		r.publish(rec, !relayed)
 	case !a.supersedes(&rec.Announcement):
 		return rec.number, true
 	default:
-		r.updateRecord(rec, a, now)
+		r.updateRecord(rec, a, relayed, now)
 	}
 	rec.lastAnnounced = now
 	rec.coldUntil = now.Add(a.ColdRemaining)
@@ -87,18 +89,19 @@
 
 // updateRecord replaces a record's announcement. It publishes the record only if a
 // property that readers need has changed; periodic repetitions are not
-// published.
-func (r *Registry) updateRecord(rec *record, a Announcement, now time.Time) {
+// published. A change of the place where the target is reached or of whether it gets
+// work is urgent.
+func (r *Registry) updateRecord(rec *record, a Announcement, relayed bool, now time.Time) {
 	next := a.merge(&rec.Announcement)
 	wasCold := rec.coldUntil.After(now)
-	changed := next.State != rec.State || next.Incarnation != rec.Incarnation || next.Address != rec.Address ||
-		next.Slots != rec.Slots || (next.ColdRemaining > 0) != wasCold
+	urgent := next.State != rec.State || next.Incarnation != rec.Incarnation || next.Address != rec.Address
+	changed := urgent || next.Slots != rec.Slots || (next.ColdRemaining > 0) != wasCold
 	if next.Incarnation != rec.Incarnation {
 		r.markReplacedTargetsGone(&next)
 	}
 	rec.Announcement = next
 	if changed {
-		r.publish(rec)
+		r.publish(rec, urgent && !relayed)
 	}
 }
 
@@ -112,17 +115,17 @@
 	for id, other := range r.records {
 		if id != a.ID && other.Address == a.Address && other.State != Gone && other.Incarnation <= a.Incarnation {
 			other.State = Gone
-			r.publish(other)
+			r.publish(other, true)
 		}
 	}
 }
 
 // publish gives the record the next number, adds it to the history and wakes
 // the readers.
-func (r *Registry) publish(rec *record) {
+func (r *Registry) publish(rec *record, urgent bool) {
 	r.lastNumber++
 	rec.number = r.lastNumber
-	r.history = append(r.history, change{r.lastNumber, rec})
+	r.history = append(r.history, change{r.lastNumber, rec, urgent})
 	if len(r.history) > historyPerRecord*len(r.records)+minHistory {
 		r.history = slices.DeleteFunc(r.history, func(c change) bool { return !r.isCurrent(c) })
 	}
@@ -150,7 +153,7 @@
 			delete(r.records, id)
 		case rec.State == Ready && age > silentIntervals*r.interval+silentMargin:
 			rec.State = Silent
-			r.publish(rec)
+			r.publish(rec, false)
 		}
 	}
 }
@@ -164,9 +167,9 @@
 		return nil, r.lastNumber, r.changed
 	}
 	now := r.now()
-	first, _ := slices.BinarySearchFunc(r.history, number+1, func(c change, n uint64) int { return cmp.Compare(c.number, n) })
-	out := make([]Announcement, 0, len(r.history)-first)
-	for _, c := range r.history[first:] {
+	history := r.historyAfter(number)
+	out := make([]Announcement, 0, len(history))
+	for _, c := range history {
 		if !r.isCurrent(c) {
 			continue
 		}
@@ -176,3 +179,17 @@
 	}
 	return out, r.lastNumber, r.changed
 }
+
+// UrgentSince reports whether there is an urgent change after the given number. The
+// channel is closed at the next change.
+func (r *Registry) UrgentSince(number uint64) (urgent bool, changed <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.historyAfter(number), func(c change) bool { return c.urgent }), r.changed
+}
+
+// historyAfter returns the changes after the given number. The caller must hold r.mu.
+func (r *Registry) historyAfter(number uint64) []change {
+	first, _ := slices.BinarySearchFunc(r.history, number+1, func(c change, n uint64) int { return cmp.Compare(c.number, n) })
+	return r.history[first:]
+}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -45,17 +45,17 @@
 // announcement arrives late.
 func TestLateAnnouncementDoesNotRestoreLeavingTarget(t *testing.T) {
 	r, _ := newTestRegistry()
-	r.Announce(readyAnnouncement("i1", 5, 3))
-	r.Announce(asDraining(readyAnnouncement("i1", 5, 4)))
-	r.Announce(readyAnnouncement("i1", 5, 9))
+	r.Announce(readyAnnouncement("i1", 5, 3), false)
+	r.Announce(asDraining(readyAnnouncement("i1", 5, 4)), false)
+	r.Announce(readyAnnouncement("i1", 5, 9), false)
 	assert.Equal(t, announcementOf(t, r, "i1").State, Draining)
-	r.Announce(Announcement{ID: "i1", State: Gone})
-	r.Announce(readyAnnouncement("i1", 5, 10))
+	r.Announce(Announcement{ID: "i1", State: Gone}, false)
+	r.Announce(readyAnnouncement("i1", 5, 10), false)
 	assert.Equal(t, announcementOf(t, r, "i1").State, Gone)
 	// An announcement with the same ID and a later start is of another incarnation.
-	r.Announce(readyAnnouncement("i1", 6, 1))
+	r.Announce(readyAnnouncement("i1", 6, 1), false)
 	assert.Equal(t, announcementOf(t, r, "i1").State, Ready)
-	r.Announce(asDraining(readyAnnouncement("i1", 5, 99)))
+	r.Announce(asDraining(readyAnnouncement("i1", 5, 99)), false)
 	assert.Equal(t, announcementOf(t, r, "i1").State, Ready)
 }
 
@@ -63,10 +63,10 @@
 // also after a late announcement from the former one.
 func TestAddressBelongsToNewestTarget(t *testing.T) {
 	r, _ := newTestRegistry()
-	r.Announce(readyAnnouncement("old", 5, 3))
-	r.Announce(readyAnnouncement("new", 9, 1))
+	r.Announce(readyAnnouncement("old", 5, 3), false)
+	r.Announce(readyAnnouncement("new", 9, 1), false)
 	assert.Equal(t, announcementOf(t, r, "old").State, Gone)
-	r.Announce(readyAnnouncement("old", 5, 4))
+	r.Announce(readyAnnouncement("old", 5, 4), false)
 	assert.Equal(t, announcementOf(t, r, "old").State, Gone)
 	assert.Equal(t, announcementOf(t, r, "new").State, Ready)
 }
@@ -75,14 +75,14 @@
 // becomes silent because of one late announcement.
 func TestTargetWithoutAnnouncementsBecomesSilent(t *testing.T) {
 	r, c := newTestRegistry()
-	r.Announce(readyAnnouncement("i1", 5, 1))
+	r.Announce(readyAnnouncement("i1", 5, 1), false)
 	c.current = c.current.Add(2 * testInterval)
 	r.Sweep()
 	assert.Equal(t, announcementOf(t, r, "i1").State, Ready)
 	c.current = c.current.Add(3 * testInterval)
 	r.Sweep()
 	assert.Equal(t, announcementOf(t, r, "i1").State, Silent)
-	r.Announce(readyAnnouncement("i1", 5, 2))
+	r.Announce(readyAnnouncement("i1", 5, 2), false)
 	assert.Equal(t, announcementOf(t, r, "i1").State, Ready)
 }
 
@@ -90,14 +90,14 @@
 // reader that misses a change.
 func TestOnlyChangesArePublished(t *testing.T) {
 	r, c := newTestRegistry()
-	r.Announce(readyAnnouncement("i1", 5, 1))
+	r.Announce(readyAnnouncement("i1", 5, 1), false)
 	_, cursor, changed := r.Since(0)
-	r.Announce(readyAnnouncement("i1", 5, 2))
+	r.Announce(readyAnnouncement("i1", 5, 2), false)
 	changes, _, _ := r.Since(cursor)
 	assert.Equal(t, len(changes), 0)
 	cold := readyAnnouncement("i1", 5, 3)
 	cold.ColdRemaining = 2 * time.Second
-	r.Announce(cold)
+	r.Announce(cold, false)
 	<-changed
 	c.current = c.current.Add(time.Second)
 	changes, _, _ = r.Since(cursor)
@@ -111,7 +111,7 @@
 	for i := range maxTargets + 1 {
 		a := readyAnnouncement(time.Unix(int64(i), 0).String(), 1, 1)
 		a.Address = ""
-		_, ok := r.Announce(a)
+		_, ok := r.Announce(a, false)
 		assert.Equal(t, ok, i < maxTargets)
 	}
 	c.current = c.current.Add(time.Hour)
@@ -136,7 +136,7 @@
 		if rng.IntN(4) == 0 {
 			a = Announcement{ID: id, State: Gone}
 		}
-		r.Announce(a)
+		r.Announce(a, false)
 		if rng.IntN(50) == 0 {
 			c.current = c.current.Add(recordRetention + time.Second)
 			r.Sweep()
@@ -164,7 +164,7 @@
 	for i := range 3000 {
 		a := readyAnnouncement(fmt.Sprintf("i%d", i), 5, 1)
 		a.Address = a.ID + ":1"
-		r.Announce(a)
+		r.Announce(a, false)
 	}
 	for b.Loop() {
 		_, _, _ = r.Since(r.lastNumber - 1)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -13,7 +13,6 @@
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/agreement"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
-	"github.com/endivetrack/endivetrack/internal/sleep"
 )
 
 // Timing of the calls to and from a control instance.
@@ -27,11 +26,9 @@
 	// confirmTimeout bounds how long an acknowledgement waits for instances
 	// that do not respond. It is less than the 1 s after which a target gives up.
 	confirmTimeout = 600 * time.Millisecond
-	// coalescePerWatcher, multiplied by the number of live watchers, is how
-	// long announcements are collected before a response; maxCoalesce bounds
-	// it. Acknowledgements to leaving targets are delayed by the same time.
-	coalescePerWatcher = 100 * time.Microsecond
-	maxCoalesce        = 50 * time.Millisecond
+	// confirmCheckInterval is the time between two checks whether all watchers have
+	// applied an announcement.
+	confirmCheckInterval = 20 * time.Millisecond
 	// proposeTimeout bounds one attempt to commit a change or to read the state.
 	// It is less than the 1 s after which callers try another control instance.
 	proposeTimeout = 900 * time.Millisecond
@@ -158,7 +155,7 @@
 // may be acknowledged. For a leaving target that normally means that all live
 // watchers have applied it; awaitWatchers describes the exception.
 func (s *Server) Announce(ctx context.Context, a Announcement) error {
-	number, ok := s.registry.Announce(a)
+	number, ok := s.registry.Announce(a, false)
 	if !ok {
 		return resultcode.Newf(resultcode.Overloaded, "too many targets")
 	}
@@ -166,7 +163,7 @@
 		relayResult := s.relayAnnouncement(a)
 		return s.awaitWatchers(ctx, number, relayResult)
 	}
-	if _, live, _ := s.watchers.AppliedByAll(0); live == 0 && !s.groupHasLeader() && s.now().After(s.started.Add(startupGrace)) {
+	if s.watchers.Progress(0).live == 0 && !s.groupHasLeader() && s.now().After(s.started.Add(startupGrace)) {
 		return resultcode.Newf(resultcode.ControlUnavailable, "no instance watches this one")
 	}
 	return nil
@@ -176,26 +173,28 @@
 // leader.
 func (s *Server) groupHasLeader() bool { return s.log.Status().LeaderAddress != "" }
 
-// awaitWatchers waits until all live watchers have applied an announcement.
-// After the timeout it also succeeds if another control instance has accepted
-// the announcement or more than one watcher is live.
+// awaitWatchers waits until all live watchers have applied an announcement. After
+// the timeout it also succeeds if another control instance has accepted the
+// announcement or a watcher has applied it while others are live: those may be dark.
 func (s *Server) awaitWatchers(ctx context.Context, number uint64, relayResult <-chan bool) error {
 	timeout := time.NewTimer(confirmTimeout)
 	defer timeout.Stop()
+	check := time.NewTicker(confirmCheckInterval)
+	defer check.Stop()
 	relayed := false
 	for {
-		all, live, changed := s.watchers.AppliedByAll(number)
-		if all && live > 0 {
+		p := s.watchers.Progress(number)
+		if p.live > 0 && p.applied == p.live {
 			return nil
 		}
 		select {
-		case <-changed:
+		case <-check.C:
 		case ok := <-relayResult:
 			relayed, relayResult = ok, nil
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-timeout.C:
-			if relayed || live > 1 {
+			if relayed || s.watchers.Progress(number).applied > 0 {
 				return nil
 			}
 			return resultcode.Newf(resultcode.ControlUnavailable, "no other instance has confirmed the announcement")
@@ -251,12 +250,12 @@
 	if a.ID == "" || a.State == 0 {
 		return nil, resultcode.ToTwirp(resultcode.Newf(resultcode.AnnouncementMalformed, "relayed announcement without id or state"))
 	}
-	s.registry.Announce(a)
+	s.registry.Announce(a, true)
 	return &api.FleetRelayResponse{}, nil
 }
 
 // Watch responds as soon as there are changes that the watcher has not applied, or
-// after the requested wait.
+// after the requested wait. Changes of announcements are gathered first.
 func (s *Server) Watch(ctx context.Context, req *api.FleetWatchRequest) (*api.FleetWatchResponse, error) {
 	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatchWait)
 	cursor := req.GetCursor()
@@ -276,7 +275,7 @@
 		select {
 		case <-stateChanged:
 		case <-registryChanged:
-			s.coalesceAnnouncements(ctx)
+			s.gatherChanges(ctx, cursor, s.watchers.GatherTimes(req.GetWatcher().GetName()), stateChanged)
 		case <-timeout.C:
 			end(false)
 			return s.watchResponse(req, state, nil, last), nil
@@ -287,12 +286,28 @@
 	}
 }
 
-// coalesceAnnouncements waits for further announcements, so that one response
-// carries several. Announcements arrive in bursts, and each response costs every
-// watcher a call. The more watchers are live, the longer it waits.
-func (s *Server) coalesceAnnouncements(ctx context.Context) {
-	live, _ := s.watchers.EntryInstances()
-	sleep.For(ctx, min(maxCoalesce, time.Duration(len(live))*coalescePerWatcher))
+// gatherChanges waits for further announcements after the cursor, so that one
+// response carries several. It returns earlier when the replicated state changes.
+func (s *Server) gatherChanges(ctx context.Context, cursor uint64, times GatherTimes, stateChanged <-chan struct{}) {
+	started := time.Now()
+	timer := time.NewTimer(times.Other)
+	defer timer.Stop()
+	for {
+		urgent, changed := s.registry.UrgentSince(cursor)
+		if urgent {
+			timer.Reset(max(0, times.Urgent-time.Since(started)))
+			changed = nil
+		}
+		select {
+		case <-timer.C:
+			return
+		case <-stateChanged:
+			return
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // watchResponse builds a response with those parts of the state that the watcher
--- a/internal/fleet/server_test.go
+++ b/internal/fleet/server_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -124,6 +125,68 @@
 	assert.Equal(t, resultcode.From(err).Code, resultcode.ControlUnavailable)
 }
 
+// Guards against acknowledging that a target leaves when no live watcher has applied
+// it: two watchers that poll no more would still send it requests.
+func TestLeaveIsNotAcknowledgedWithoutAnyApplication(t *testing.T) {
+	c := newTestControl(t, "1")
+	c.watchers.BeginPoll(Watcher{Name: "e1"}, 0, time.Minute)
+	end := c.watchers.BeginPoll(Watcher{Name: "e2"}, 0, time.Minute)
+	err := c.Announce(context.Background(), asDraining(readyAnnouncement("i1", 1, 2)))
+	assert.Equal(t, resultcode.From(err).Code, resultcode.ControlUnavailable)
+	// One of them has applied it; the other may be dark.
+	end(false)
+	c.watchers.BeginPoll(Watcher{Name: "e2"}, 1, time.Minute)
+	assert.NilError(t, c.Announce(context.Background(), asDraining(readyAnnouncement("i1", 1, 3))))
+}
+
+// Guards against changes that are sent one by one, against urgent ones that wait for
+// others, and against a manifest that waits for either.
+func TestChangesAreGathered(t *testing.T) {
+	c := newTestControl(t, "1")
+	gather := func(times GatherTimes, prepare func()) time.Duration {
+		_, changed := c.machine.State()
+		_, last, _ := c.registry.Since(0)
+		prepare()
+		started := time.Now()
+		c.gatherChanges(context.Background(), last, times, changed)
+		return time.Since(started)
+	}
+	at := func(id string) Announcement {
+		a := readyAnnouncement(id, 1, 1)
+		a.Address = id + ":80"
+		return a
+	}
+	const short, long = 50 * time.Millisecond, 20 * time.Second
+	took := gather(GatherTimes{Urgent: short, Other: long}, func() { c.registry.Announce(at("i1"), false) })
+	assert.Assert(t, took >= short && took < long, "%v", took)
+	took = gather(GatherTimes{Other: short}, func() { c.registry.Announce(at("i2"), true) })
+	assert.Assert(t, took >= short, "%v", took)
+	took = gather(GatherTimes{Urgent: short, Other: long}, func() {
+		c.registry.Announce(at("i3"), true)
+		time.AfterFunc(short, func() { c.registry.Announce(asDraining(at("i3")), false) })
+	})
+	assert.Assert(t, took >= short && took < long, "%v", took)
+	took = gather(GatherTimes{Urgent: long, Other: long}, func() {
+		c.registry.Announce(at("i4"), true)
+		time.AfterFunc(short, func() { commitManifest(t, c, 1, "x") })
+	})
+	assert.Assert(t, took < long, "%v", took)
+}
+
+// Guards against a follower that never polls another control instance once it has
+// heard of many: replaced instances have new addresses.
+func TestReplacedControlInstancesAreForgotten(t *testing.T) {
+	f := NewFollower(Watcher{}, nil, nil, nil, zerolog.Nop(), tally.NoopScope)
+	now := time.Unix(1000, 0)
+	for i := range 10 * maxControlInstances {
+		now = now.Add(unlistedPollTime / 2)
+		f.noteListed([]string{strconv.Itoa(i)}, now)
+		_, known := f.lastListed[strconv.Itoa(i)]
+		assert.Assert(t, known, "%d", i)
+	}
+	assert.Assert(t, len(f.lastListed) <= 3)
+}
+
 // Guards against losing the announcement that a target leaves, because the only
 // control instance that has received it fails.
 func TestLeaveIsRelayed(t *testing.T) {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -29,8 +30,8 @@
 	// Targets holds the known targets by ID. Targets that have left stay for
 	// at least recordRetention.
 	Targets map[string]*Target
-	// Entries holds, by name, the entry instances that at least one control
-	// instance lists. They share the targets.
+	// Entries holds, by name, the entry instances to which at least one control
+	// instance sends callers. They share the targets.
 	Entries map[string]Watcher
 
 	serving map[string]bool // names of the services with a usable target
@@ -188,8 +189,12 @@
 }
 
 func (s *ViewStore) mergeTargets(next *View, announcements []Announcement) bool {
-	if len(announcements) == 0 {
-		return false
+	isNews := func(a Announcement) bool {
+		old, known := next.Targets[a.ID]
+		return !known || a.supersedes(&old.Announcement)
+	}
+	if !slices.ContainsFunc(announcements, isNews) {
+		return false // each control instance reports every change
 	}
 	now := s.now()
 	targets := make(map[string]*Target, len(next.Targets)+len(announcements))
--- a/internal/fleet/watchers.go
+++ b/internal/fleet/watchers.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -11,9 +10,32 @@
 	"github.com/endivetrack/endivetrack/api"
 )
 
-// watcherGrace is how long after the end of its last poll a watcher still
-// counts as live.
-const watcherGrace = time.Second
+const (
+	// watcherGrace is how long after the end of its last poll a watcher still
+	// counts as live.
+	watcherGrace = time.Second
+	// expiryCheckInterval is the time between two checks for watchers that are no
+	// longer live.
+	expiryCheckInterval = 50 * time.Millisecond
+)
+
+// GatherTimes is how long changes of announcements are gathered before a watcher is
+// sent them, by whether one of them is urgent. Announcements arrive in bursts, and
+// each response costs a call at the watcher and at the control instance, so the times
+// grow with the number of watchers.
+type GatherTimes struct{ Urgent, Other time.Duration }
+
+// The time per live watcher and the longest time for which changes are gathered.
+// Instances to which callers are not sent have no use for prompt news; a target that
+// leaves serves on for much longer than maxGatherIdle.
+const (
+	gatherUrgentPerWatcher = 100 * time.Microsecond
+	maxGatherUrgent        = 50 * time.Millisecond
+	gatherOtherPerWatcher  = time.Millisecond
+	maxGatherOther         = 250 * time.Millisecond
+	gatherIdlePerWatcher   = 1500 * time.Microsecond
+	maxGatherIdle          = 400 * time.Millisecond
+)
 
 // Watcher describes an instance that watches a control instance.
 type Watcher struct {
@@ -36,7 +58,9 @@
 	}
 	h := xxhash.New()
 	for _, w := range list {
-		_, _ = h.WriteString(w.Name + "\x00" + w.InternalAddress + "\x00") // writing to a hash never fails
+		for _, field := range []string{w.Name, w.InternalAddress, w.Address, w.Region, w.FailureDomain} {
+			_, _ = h.WriteString(field + "\x00") // writing to a hash never fails
+		}
 	}
 	return h.Sum64()
 }
@@ -59,14 +83,14 @@
 type Watchers struct {
 	now func() time.Time
 
-	mu      sync.Mutex
-	byName  map[string]*watcherState
-	changed chan struct{} // closed when a watcher starts a poll
+	mu     sync.Mutex
+	byName map[string]*watcherState
 
 	// The cached results of EntryInstances. They are rebuilt if entriesStale is set.
 	entryInstances []Watcher
 	entriesVersion uint64
 	entriesStale   bool
+	expiryCheckAt  time.Time // time of the next check for watchers that are no longer live
 }
 
 // watcherState is the state of one watcher's polls.
@@ -80,7 +104,7 @@
 
 // NewWatchers returns an empty set. now returns the current time.
 func NewWatchers(now func() time.Time) *Watchers {
-	return &Watchers{now: now, byName: map[string]*watcherState{}, changed: make(chan struct{})}
+	return &Watchers{now: now, byName: map[string]*watcherState{}}
 }
 
 // BeginPoll records the start of a poll that may last for wait. cursor is the
@@ -99,8 +123,6 @@
 	state.Watcher, state.cursor = watcher, cursor
 	state.pollNumber++
 	state.liveUntil = w.now().Add(wait + watcherGrace)
-	close(w.changed)
-	w.changed = make(chan struct{})
 	pollNumber := state.pollNumber
 	return func(disconnected bool) { w.endPoll(state, pollNumber, disconnected) }
 }
@@ -115,49 +137,78 @@
 	state.liveUntil = w.now().Add(watcherGrace)
 	if disconnected {
 		state.liveUntil = w.now()
+		w.expiryCheckAt = time.Time{}
 	}
 }
 
-// EntryInstances returns the live watchers that accept callers, sorted by name,
-// and the version of this list. The caller must not modify the list. Every
+// EntryInstances returns the live watchers that callers are sent to, sorted by
+// name, and the version of this list. The caller must not modify the list. Every
 // response to a watcher needs the list, so it is rebuilt only when it changes.
 func (w *Watchers) EntryInstances() ([]Watcher, uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.now()
-	for name, state := range w.byName {
-		if now.After(state.liveUntil) {
-			delete(w.byName, name)
-			w.entriesStale = true
+	w.refreshEntries()
+	return w.entryInstances, w.entriesVersion
+}
+
+// refreshEntries rebuilds the list of entry instances if it has changed. The caller
+// must hold w.mu.
+func (w *Watchers) refreshEntries() {
+	if now := w.now(); !now.Before(w.expiryCheckAt) {
+		w.expiryCheckAt = now.Add(expiryCheckInterval)
+		for name, state := range w.byName {
+			if now.After(state.liveUntil) {
+				delete(w.byName, name)
+				w.entriesStale = true
+			}
 		}
 	}
-	if w.entriesStale {
-		w.entryInstances, w.entriesStale = nil, false
-		for _, state := range w.byName {
-			if !state.Leaving && state.Address != "" {
-				w.entryInstances = append(w.entryInstances, state.Watcher)
-			}
+	if !w.entriesStale {
+		return
+	}
+	w.entriesStale = false
+	var live []Watcher
+	for _, state := range w.byName {
+		if !state.Leaving && state.Address != "" {
+			live = append(live, state.Watcher)
 		}
-		slices.SortFunc(w.entryInstances, func(a, b Watcher) int { return strings.Compare(a.Name, b.Name) })
-		w.entriesVersion = listVersion(w.entryInstances)
 	}
-	return w.entryInstances, w.entriesVersion
+	w.entryInstances = selectServing(live, maxServingPerDomain)
+	w.entriesVersion = listVersion(w.entryInstances)
 }
 
-// AppliedByAll reports whether every live watcher has applied the announcement
-// with the given number, and how many watchers are live. The channel is closed
-// when that may have changed.
-func (w *Watchers) AppliedByAll(number uint64) (all bool, live int, changed <-chan struct{}) {
+// GatherTimes returns how long changes are gathered for the named watcher.
+func (w *Watchers) GatherTimes(name string) GatherTimes {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	all = true
+	w.refreshEntries()
+	n := time.Duration(len(w.byName))
+	if !slices.ContainsFunc(w.entryInstances, func(x Watcher) bool { return x.Name == name }) {
+		idle := min(maxGatherIdle, n*gatherIdlePerWatcher)
+		return GatherTimes{Urgent: idle, Other: idle}
+	}
+	return GatherTimes{Urgent: min(maxGatherUrgent, n*gatherUrgentPerWatcher), Other: min(maxGatherOther, n*gatherOtherPerWatcher)}
+}
+
+// progress is how many watchers are live, and how many of them have applied an
+// announcement.
+type progress struct{ live, applied int }
+
+// Progress returns how far the live watchers have applied the announcement with the
+// given number.
+func (w *Watchers) Progress(number uint64) progress {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var p progress
 	now := w.now()
 	for _, state := range w.byName {
 		if now.After(state.liveUntil) {
 			continue
 		}
-		live++
-		all = all && state.cursor >= number
+		p.live++
+		if state.cursor >= number {
+			p.applied++
+		}
 	}
-	return all, live, w.changed
+	return p
 }
--- a/internal/fleet/watchers_test.go
+++ b/internal/fleet/watchers_test.go
@@ -47,3 +47,44 @@
 		_, _ = w.EntryInstances()
 	}
 }
+
+// Guards against a list whose version stays the same although an instance has moved:
+// watchers would keep the old address or failure domain.
+func TestListVersionCoversEachProperty(t *testing.T) {
+	base := Watcher{Name: "e", Region: "r", FailureDomain: "a", Address: "1", InternalAddress: "2"}
+	for name, change := range map[string]func(*Watcher){
+		"address":          func(w *Watcher) { w.Address = "3" },
+		"internal address": func(w *Watcher) { w.InternalAddress = "3" },
+		"region":           func(w *Watcher) { w.Region = "s" },
+		"failure domain":   func(w *Watcher) { w.FailureDomain = "b" },
+	} {
+		changed := base
+		change(&changed)
+		assert.Assert(t, listVersion([]Watcher{base}) != listVersion([]Watcher{changed}), name)
+	}
+}
+
+// Guards against hundreds of instances that are each called for every change, and
+// against news that reach the instances with traffic late.
+func TestGatherTimesGrowWithWatchers(t *testing.T) {
+	c := &testClock{current: time.Unix(1000, 0)}
+	w := NewWatchers(c.now)
+	for i := range 6 {
+		w.BeginPoll(Watcher{Name: fmt.Sprintf("e%d", i), Address: "a", FailureDomain: fmt.Sprint(i)}, 0, time.Minute)
+	}
+	assert.Assert(t, w.GatherTimes("e1").Urgent < time.Millisecond)
+	for i := range 300 {
+		w.BeginPoll(Watcher{Name: fmt.Sprintf("x%d", i), Address: "a", FailureDomain: "1"}, 0, time.Minute)
+	}
+	serving := 0
+	for i := range 300 {
+		g := w.GatherTimes(fmt.Sprintf("x%d", i))
+		assert.Assert(t, g.Urgent <= maxGatherIdle && g.Other <= maxGatherIdle)
+		if g.Urgent <= maxGatherUrgent {
+			serving++
+			continue
+		}
+		assert.Equal(t, g.Urgent, maxGatherIdle)
+	}
+	assert.Assert(t, serving > 0 && serving <= maxServingPerDomain, "%d", serving)
+}
