--- a/client/client.go
+++ b/client/client.go
@@ -68,6 +68,9 @@
 	if len(cfg.Entries) == 0 || cfg.Key == "" {
 		return nil, errors.New("client: entry addresses and a key are required")
 	}
+	if cfg.Attempts < 0 {
+		return nil, errors.New("client: the number of attempts must not be negative")
+	}
 	if cfg.Silence == 0 {
 		cfg.Silence = defaultSilenceTimeout
 	}
--- a/internal/entry/access/directory.go
+++ b/internal/entry/access/directory.go
@@ -75,12 +75,13 @@
 	idx := &accountIndex{view: view, identityByDigest: map[string]*Identity{}}
 	for teamName, team := range view.Teams {
 		for name, account := range team.Settings.Accounts {
-			id := &Identity{TeamName: teamName, Team: team.Settings, AccountName: name, Account: account}
+			identity := &Identity{TeamName: teamName, Team: team.Settings, AccountName: name, Account: account}
 			for _, digest := range account.KeySHA256 {
 				if _, taken := idx.identityByDigest[digest]; taken {
-					id = nil
+					idx.identityByDigest[digest] = nil // a key that two accounts share opens neither
+					continue
 				}
-				idx.identityByDigest[digest] = id
+				idx.identityByDigest[digest] = identity
 			}
 		}
 	}
--- a/internal/entry/command/plain.go
+++ b/internal/entry/command/plain.go
@@ -219,7 +219,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s.latencyEstimator.recordLatency(call.identity.TeamName, call.service, time.Since(began))
+	if isReadMethod(request.Method) {
+		s.latencyEstimator.recordLatency(call.identity.TeamName, call.service, time.Since(began))
+	}
 	if charge := s.linkCharger(call.identity, held.Shard.Region); charge != nil {
 		charge(len(request.Body) + len(response.Body))
 	}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -27,6 +27,12 @@
 	maxTokensLimit    = 1 << 20
 )
 
+// Defaults of keys whose zero is a value of its own.
+const (
+	defaultPriority     = 5
+	defaultRetryPercent = 10
+)
+
 // namePattern matches valid names of teams, services, accounts, targets and other
 // named settings.
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
@@ -51,7 +57,7 @@
 	if undecoded := meta.Undecoded(); len(undecoded) > 0 {
 		return nil, resultcode.Newf(resultcode.SettingsUnknownKey, "%s: key %q is unknown", file, undecoded[0].String())
 	}
-	t.applyDefaults()
+	t.applyDefaults(meta)
 	if err := (&checker{file: file}).checkTeam(&t); err != nil {
 		return nil, err
 	}
@@ -66,7 +72,9 @@
 	return resultcode.Newf(resultcode.SettingsMalformed, "%s: %v", file, err)
 }
 
-func (t *Team) applyDefaults() {
+// applyDefaults sets the values that meta does not define. A zero is a value of its own
+// where it is in range.
+func (t *Team) applyDefaults(meta toml.MetaData) {
 	for name, s := range t.Services {
 		s.Shards = cmp.Or(s.Shards, 1)
 		s.MaxBodyBytes = cmp.Or(s.MaxBodyBytes, 1<<20)
@@ -77,6 +85,9 @@
 	for name, c := range t.Classes {
 		c.QueueTimeoutMS = cmp.Or(c.QueueTimeoutMS, 10_000)
 		c.MaxTokens = cmp.Or(c.MaxTokens, 32_768)
+		if !meta.IsDefined("classes", name, "priority") {
+			c.Priority = defaultPriority
+		}
 		t.Classes[name] = c
 	}
 	for name, a := range t.Accounts {
@@ -89,7 +100,9 @@
 	p := &t.Policy
 	p.TargetGapMS = cmp.Or(p.TargetGapMS, 31)
 	p.CrossRegionBytesPerSecond = cmp.Or(p.CrossRegionBytesPerSecond, 1_000_000)
-	p.RetryPercent = cmp.Or(p.RetryPercent, 10)
+	if !meta.IsDefined("policy", "retry_percent") {
+		p.RetryPercent = defaultRetryPercent
+	}
 	p.QueueLimit = cmp.Or(p.QueueLimit, 4096)
 	p.MaxConcurrentLoads = cmp.Or(p.MaxConcurrentLoads, 2)
 	p.ReplayHours = cmp.Or(p.ReplayHours, 24)
--- a/internal/timeline/recorder.go
+++ b/internal/timeline/recorder.go
@@ -117,6 +117,10 @@
 	if r.fileBytes > maxFileBytes {
 		r.rotate()
 	}
+	if r.file == nil {
+		r.droppedEvents++
+		return
+	}
 	n, err := r.file.Write(append(line, '\n'))
 	r.fileBytes += int64(n)
 	if err != nil {
@@ -128,6 +132,7 @@
 // one.
 func (r *Recorder) rotate() {
 	_ = r.file.Close()
+	r.file = nil
 	_ = os.Rename(r.path, r.path+".1")
 	if err := r.openFile(); err != nil {
 		r.droppedEvents++
@@ -144,15 +149,31 @@
 	return slices.Clone(r.recent)
 }
 
+// Dropped returns the number of events that could not be written to the file, and of
+// rotations that failed.
+func (r *Recorder) Dropped() uint64 {
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.droppedEvents
+}
+
 // Close closes the event file, if there is one. Later events are kept in memory
 // only.
 func (r *Recorder) Close() error {
-	if r == nil || r.file == nil {
+	if r == nil {
 		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.file.Close()
+	if r.file == nil {
+		return nil
+	}
+	file := r.file
+	r.file = nil
+	return file.Close()
 }
 
 // ReadDir reads all event files in dir and its subdirectories and merges their
