--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -53,8 +53,12 @@
 		l.table.addConns(l.endpoint, -1)
 		return nil, err
 	}
+	return newTargetConn(raw), nil
+}
+
+func newTargetConn(raw net.Conn) *targetConn {
 	head := netconn.NewHeadLimiter(raw, errHeadTooLong)
-	return &targetConn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, connReadBufferBytes), idleTimeout: maxIdleTime}, nil
+	return &targetConn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, connReadBufferBytes), idleTimeout: maxIdleTime}
 }
 
 // takeIdle removes and returns the most recently used idle connection that is
--- a/internal/forward/fuzz_test.go
+++ b/internal/forward/fuzz_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/manifest"
+	"github.com/endivetrack/endivetrack/internal/netconn"
 )
 
 func fuzzForwarder() *Forwarder {
@@ -88,7 +89,8 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nT-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
 	forwarder := fuzzForwarder()
 	f.Fuzz(func(t *testing.T, sent []byte) {
-		conn := &targetConn{reader: bufio.NewReader(bytes.NewReader(sent))}
+		head := netconn.NewHeadLimiter(bytes.NewReader(sent), errHeadTooLong)
+		conn := &targetConn{head: head, reader: bufio.NewReader(head)}
 		resp, err := forwarder.readResponseHead(conn, &request{id: "own", method: http.MethodGet})
 		if err != nil {
 			return
