fleet: the number of listed entry instances follows the load

Change: each entry instance reports its work of the last second, counted from requests and events, in multiples of what it is planned to do (0.3 of its processors). Control instances list as many instances of a failure domain as its work needs, at least four; the number grows at once and shrinks only when the load fits into two thirds.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -44,6 +44,7 @@
 
 	mu   sync.Mutex
 	self Watcher
+	load func() float64
 	// selfContext ends when self changes.
 	selfContext context.Context
 	endSelf     context.CancelFunc
@@ -66,6 +67,11 @@
 	return f
 }
 
+// ReportLoad makes the follower report to the control instances what load returns: the
+// work of this instance, in multiples of what one instance is planned to do. It must be
+// called before Run.
+func (f *Follower) ReportLoad(load func() float64) { f.load = load }
+
 // SetSeeds replaces the configured addresses of control instances.
 func (f *Follower) SetSeeds(seeds []string) {
 	f.mu.Lock()
@@ -192,8 +198,12 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+pollTimeoutMargin)
 	defer cancel()
 	defer context.AfterFunc(selfContext, cancel)()
+	watcher := watcherToProto(&self)
+	if f.load != nil {
+		watcher.Load = uint32(f.load() * loadUnit)
+	}
 	resp, err := client.Watch(ctx, &api.FleetWatchRequest{
-		Watcher: watcherToProto(&self), StateIndex: f.views.stateIndex(),
+		Watcher: watcher, StateIndex: f.views.stateIndex(),
 		Epoch: p.epoch, Cursor: p.cursor, EntriesVersion: p.entriesVersion, WaitMs: uint32(wait.Milliseconds()),
 	})
 	if err != nil {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -17,6 +17,9 @@
 
 // Timing of the calls to and from a control instance.
 const (
+	// loadUnit is the value of a watcher's reported load that stands for the planned
+	// work of one instance.
+	loadUnit     = 1000
 	maxWatchWait = 2 * time.Second
 	// startupGrace is how long after startup a control instance accepts
 	// announcements even if no other instance watches it yet.
@@ -263,6 +266,7 @@
 		cursor = 0
 	}
 	end := s.watchers.BeginPoll(watcherFromProto(req.GetWatcher()), cursor, wait)
+	s.watchers.SetLoad(req.GetWatcher().GetName(), float64(req.GetWatcher().GetLoad())/loadUnit)
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
--- a/internal/fleet/watchers.go
+++ b/internal/fleet/watchers.go
@@ -90,7 +90,8 @@
 	entryInstances []Watcher
 	entriesVersion uint64
 	entriesStale   bool
-	expiryCheckAt  time.Time // time of the next check for watchers that are no longer live
+	servingSizes   map[string]int // number of entry instances to list, by failure domain
+	expiryCheckAt  time.Time      // time of the next check for watchers that are no longer live
 }
 
 // watcherState is the state of one watcher's polls.
@@ -100,11 +101,13 @@
 	liveUntil  time.Time
 	// cursor is the number of the last announcement that the watcher applied.
 	cursor uint64
+	// load is the watcher's work in multiples of what one instance is planned to do.
+	load float64
 }
 
 // NewWatchers returns an empty set. now returns the current time.
 func NewWatchers(now func() time.Time) *Watchers {
-	return &Watchers{now: now, byName: map[string]*watcherState{}}
+	return &Watchers{now: now, byName: map[string]*watcherState{}, servingSizes: map[string]int{}}
 }
 
 // BeginPoll records the start of a poll that may last for wait. cursor is the
@@ -119,7 +122,9 @@
 		state = &watcherState{}
 		w.byName[watcher.Name] = state
 	}
-	w.entriesStale = w.entriesStale || state.Watcher != watcher
+	if state.Watcher != watcher {
+		w.entriesStale, w.expiryCheckAt = true, time.Time{}
+	}
 	state.Watcher, state.cursor = watcher, cursor
 	state.pollNumber++
 	state.liveUntil = w.now().Add(wait + watcherGrace)
@@ -127,6 +132,16 @@
 	return func(disconnected bool) { w.endPoll(state, pollNumber, disconnected) }
 }
 
+// SetLoad records the work that a watcher reports, in multiples of what one instance is
+// planned to do.
+func (w *Watchers) SetLoad(name string, load float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if state := w.byName[name]; state != nil {
+		state.load = load
+	}
+}
+
 // endPoll sets when the watcher stops being live, unless a newer poll has begun.
 func (w *Watchers) endPoll(state *watcherState, pollNumber uint64, disconnected bool) {
 	w.mu.Lock()
@@ -162,6 +177,7 @@
 				w.entriesStale = true
 			}
 		}
+		w.updateServingSizes()
 	}
 	if !w.entriesStale {
 		return
@@ -173,10 +189,25 @@
 			live = append(live, state.Watcher)
 		}
 	}
-	w.entryInstances = selectServing(live, maxServingPerDomain)
+	w.entryInstances = selectServing(live, w.servingSizes)
 	w.entriesVersion = listVersion(w.entryInstances)
 }
 
+// updateServingSizes adapts the number of listed instances to the load of each failure
+// domain. The caller must hold w.mu.
+func (w *Watchers) updateServingSizes() {
+	loads := map[string]float64{}
+	for _, state := range w.byName {
+		loads[state.FailureDomain] += state.load
+	}
+	for domain, load := range loads {
+		if size := servingSize(load, w.servingSizes[domain]); size != w.servingSizes[domain] {
+			w.servingSizes[domain] = size
+			w.entriesStale = true
+		}
+	}
+}
+
 // GatherTimes returns how long changes are gathered for the named watcher.
 func (w *Watchers) GatherTimes(name string) GatherTimes {
 	w.mu.Lock()
--- a/internal/fleet/watchers_test.go
+++ b/internal/fleet/watchers_test.go
@@ -86,5 +86,5 @@
 		}
 		assert.Equal(t, g.Urgent, maxGatherIdle)
 	}
-	assert.Assert(t, serving > 0 && serving <= maxServingPerDomain, "%d", serving)
+	assert.Assert(t, serving > 0 && serving <= minServing, "%d", serving)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -101,6 +101,7 @@
 	table     *table
 	latencies *observer
 	budget    *budget
+	work      workMeter
 
 	mu sync.Mutex
 	// stoppedAt is when the planned stop began; zero before it.
@@ -183,6 +184,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	f.config.Metrics.Counter("forward.requests").Inc(1)
+	f.work.add(requestWork, arrived)
 	if f.isStopping() || len(r.TransferEncoding) > 0 {
 		// net/http ignores a Content-Length next to a chunked body. Closing the
 		// connection keeps a request that is smuggled after such a body from
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -23,6 +23,9 @@
 	// leaveDelay is how long a stopping instance continues to serve: the longest
 	// time that callers use an address, plus the time until it is no longer listed.
 	leaveDelay = 3*directory.TTL + 1500*time.Millisecond
+	// plannedUtilization is the share of its processors that an instance uses before
+	// callers are sent to further ones. It leaves room for a burst until they are listed.
+	plannedUtilization = 0.3
 	// stopMargin is the part of the grace period left for the process to exit.
 	stopMargin = 400 * time.Millisecond
 )
@@ -33,10 +36,12 @@
 	// CallerAddress is the address for callers, ReadyAddress the one for readiness checks.
 	CallerAddress string
 	ReadyAddress  string
-	Regions       map[string]string // region of each failure domain
-	Headers       forward.Headers
-	Engines       forward.Engines
-	Budget        forward.BudgetConfig
+	// Cores is the processor limit of the instance; 0 means one processor.
+	Cores   float64
+	Regions map[string]string // region of each failure domain
+	Headers forward.Headers
+	Engines forward.Engines
+	Budget  forward.BudgetConfig
 	// Decode parses a manifest document.
 	Decode func([]byte) (*manifest.Manifest, error)
 	// ReadyHandler returns the handler of the platform's readiness check; ready returns its result.
@@ -64,7 +69,12 @@
 		Logger: env.Log, Metrics: env.Metrics, BufferBytes: bufferBytes,
 	})
 	self := fleet.Watcher{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain, Address: c.CallerAddress, InternalAddress: c.InternalAddress}
+	cores := c.Cores
+	if cores <= 0 {
+		cores = 1
+	}
 	follower := fleet.NewFollower(self, c.Seeds, views, env.PeerClient, env.Log, env.Metrics)
+	follower.ReportLoad(func() float64 { return forwarder.Work() / (plannedUtilization * cores) })
 	exchange, err := loads.Listen(c.Name, c.FailureDomain, c.InternalAddress, views.Entries, forwarder, env.Metrics)
 	if err != nil {
 		return trace.Wrap(err)
