tests for the faults that readers noticed; bodies of unknown length reserve their space

Cause: a chunked body reserved 64 KiB and was read up to the limit of a body, so the bodies in memory could exceed BufferBytes. Change: space is reserved as the body grows.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -289,3 +289,9 @@
 	assert.Equal(t, noInstance.Code, CodeNoInstance)
 	assert.Equal(t, noInstance.Execution, NotRun)
 }
+
+// Guards against a call that fails with a nil error because it is never sent.
+func TestNegativeAttemptsAreRefused(t *testing.T) {
+	_, err := New(Config{Entries: []string{"127.0.0.1:1"}, Key: "key", Attempts: -1})
+	assert.ErrorContains(t, err, "attempts")
+}
--- a/internal/entry/access/limits_test.go
+++ b/internal/entry/access/limits_test.go
@@ -116,3 +116,28 @@
 	assert.NilError(t, err)
 	assert.Equal(t, id.TeamName+"/"+id.AccountName, "farm/one")
 }
+
+// Guards against an account that loses its other keys, depending on the order of a map,
+// because it shares one with another account: only the shared key opens neither.
+func TestSharedKeyOpensNoAccount(t *testing.T) {
+	digests := func(keys ...string) (out []string) {
+		for _, k := range keys {
+			out = append(out, peerauth.Digest(k))
+		}
+		return out
+	}
+	team := newTeam(1, 1, 1)
+	team.Accounts = map[string]settings.ClientAccount{
+		"one": {KeySHA256: digests("own-first-key-0123456789", "shared-key-0123456789012", "own-last-key-01234567890")},
+		"two": {KeySHA256: digests("shared-key-0123456789012", "other-key-01234567890123")},
+	}
+	for range 50 {
+		idx := buildIndex(newView(team, 1))
+		for key, account := range map[string]string{"own-first-key-0123456789": "one", "own-last-key-01234567890": "one", "other-key-01234567890123": "two"} {
+			id := idx.identityByDigest[peerauth.Digest(key)]
+			assert.Assert(t, id != nil, key)
+			assert.Equal(t, id.AccountName, account)
+		}
+		assert.Assert(t, idx.identityByDigest[peerauth.Digest("shared-key-0123456789012")] == nil)
+	}
+}
--- a/internal/entry/plain_test.go
+++ b/internal/entry/plain_test.go
@@ -332,6 +332,26 @@
 	eventually(t, "permits released", func() bool { return b.owner.heldPermits() == 0 })
 }
 
+// Guards against a read whose second attempt is delayed because calls that are not reads
+// take long.
+func TestSlowWritesDoNotDelayHedging(t *testing.T) {
+	b := newHarness(t)
+	slow := newRawService(t, func(c net.Conn, id string, n int32) {
+		if n > 1 {
+			waitUntilClosed(c)
+			return
+		}
+		time.Sleep(400 * time.Millisecond)
+		respond(c, id, "written")
+	})
+	b.addTarget("core-1", slow.address)
+	assert.Equal(t, b.call("POST", "/v1/services/core/lots", callerKey, "x").body, "written")
+	b.addTarget("core-2", newRawService(t, func(c net.Conn, id string, _ int32) { respond(c, id, "fast") }).address)
+	start := time.Now()
+	assert.Equal(t, b.call("GET", "/v1/services/core/lots", callerKey, "").body, "fast")
+	assert.Assert(t, time.Since(start) < 500*time.Millisecond) // less than the call timeout of 600 ms
+}
+
 // Guards against retries beyond the retry budget of 10 % plus its reserve.
 func TestRetryBudget(t *testing.T) {
 	b := newHarness(t)
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -10,9 +11,12 @@
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
-// chunkedEstimate is the buffer space in bytes that is reserved for a body of
+// bufferStep is the buffer space in bytes that is reserved at a time for a body of
 // unknown length.
-const chunkedEstimate = 64 << 10
+const bufferStep = 64 << 10
+
+// errBufferFull means that the buffer for request bodies has no room left.
+var errBufferFull = errors.New("the buffer for request bodies is full")
 
 // readBody reads the whole body into q, so that it can be sent to a target in
 // one write and, where allowed, sent again. The caller must call release when the
@@ -25,12 +29,9 @@
 	if r.ContentLength == 0 {
 		return release, nil
 	}
-	reserved := r.ContentLength
-	if reserved < 0 {
-		reserved = min(limit, chunkedEstimate)
-	}
+	reserved := max(0, r.ContentLength)
 	if !f.reserveBuffer(reserved) {
-		return release, resultcode.Newf(resultcode.Overloaded, "the buffer for request bodies is full")
+		return release, resultcode.Newf(resultcode.Overloaded, "%v", errBufferFull)
 	}
 	release = func() { f.releaseBuffer(reserved) }
 	// A slow body must not hold the connection beyond the caller's deadline.
@@ -38,11 +39,18 @@
 	if err := controller.SetReadDeadline(q.deadline); err != nil {
 		return release, resultcode.Newf(resultcode.Internal, "read body: %v", err)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	var body []byte
+	if r.ContentLength > 0 {
+		body, err = io.ReadAll(r.Body)
+	} else {
+		body, err = f.readUnknownLength(r.Body, limit, &reserved)
+	}
 	if err == nil {
 		err = controller.SetReadDeadline(time.Time{})
 	}
 	switch {
+	case errors.Is(err, errBufferFull):
+		return release, resultcode.Newf(resultcode.Overloaded, "%v", err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return release, resultcode.Newf(resultcode.DeadlineExceeded, "the body did not arrive in time")
 	case err != nil:
@@ -57,6 +65,28 @@
 	return release, nil
 }
 
+// readUnknownLength reads a body of which at most limit+1 bytes are needed, and reserves
+// buffer space as it grows. It adds the space to reserved.
+func (f *Forwarder) readUnknownLength(r io.Reader, limit int64, reserved *int64) ([]byte, error) {
+	var body bytes.Buffer
+	for left := limit + 1; left > 0; {
+		step := min(left, bufferStep)
+		if !f.reserveBuffer(step) {
+			return nil, errBufferFull
+		}
+		*reserved += step
+		n, err := io.CopyN(&body, r, step)
+		left -= n
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return body.Bytes(), nil
+}
+
 // headerLineOverhead is the length of a header line without its name and value.
 const headerLineOverhead = len(": \r\n")
 
--- a/internal/forward/plain_test.go
+++ b/internal/forward/plain_test.go
@@ -297,3 +297,24 @@
 	assert.Assert(t, resp.Close && resp.Header.Get("Retry-After") != "")
 	assert.Equal(t, len(x.seen()), 1)
 }
+
+// Guards against bodies of unknown length that together exceed the buffer space, and
+// against space that stays reserved after a request.
+func TestBodiesOfUnknownLengthReserveTheirSpace(t *testing.T) {
+	f := New(Config{BufferBytes: 3 * bufferStep})
+	var reserved int64
+	body, err := f.readUnknownLength(strings.NewReader(strings.Repeat("x", bufferStep+1)), 2*bufferStep, &reserved)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), bufferStep+1)
+	assert.Equal(t, reserved, int64(2*bufferStep))
+	assert.Equal(t, f.bufferedBytes, reserved)
+	var more int64
+	_, err = f.readUnknownLength(strings.NewReader(strings.Repeat("x", 4*bufferStep)), 8*bufferStep, &more)
+	assert.ErrorIs(t, err, errBufferFull)
+	assert.Equal(t, f.bufferedBytes, reserved+more)
+	assert.Assert(t, f.bufferedBytes <= f.config.BufferBytes)
+	f.releaseBuffer(reserved + more)
+	body, err = f.readUnknownLength(strings.NewReader("abc"), 1, &more)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "ab", "one byte beyond the limit shows that the body exceeds it")
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -117,3 +117,15 @@
 		}
 	})
 }
+
+// Guards against a documented default that is not applied, and against a zero that is
+// taken for a missing value.
+func TestZeroIsAValueOfItsOwn(t *testing.T) {
+	without, err := Parse("t.toml", []byte(strings.Replace(validText, "priority = 8\n", "", 1)))
+	assert.NilError(t, err)
+	assert.Equal(t, without.Classes["check"].Priority, defaultPriority)
+	zero, err := Parse("t.toml", []byte(strings.Replace(validText, "priority = 8", "priority = 0", 1)+"[policy]\nretry_percent = 0\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, zero.Classes["check"].Priority, 0)
+	assert.Equal(t, zero.Policy.RetryPercent, 0)
+}
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -88,3 +88,29 @@
 		}
 	})
 }
+
+// Guards against a recorder that races with Close or writes to a closed file, and
+// against lost events that nobody can see.
+func TestDroppedEventsAreCounted(t *testing.T) {
+	dir := t.TempDir()
+	r, err := NewRecorder(NewClock(time.Now), "p", dir)
+	assert.NilError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 100 {
+			r.Record("kind")
+		}
+	}()
+	assert.NilError(t, r.Close())
+	<-done
+	assert.NilError(t, r.Close())
+	assert.Equal(t, r.Dropped(), uint64(0), "a closed recorder keeps events in memory only")
+	broken, err := NewRecorder(NewClock(time.Now), "q", dir)
+	assert.NilError(t, err)
+	assert.NilError(t, broken.file.Close())
+	broken.Record("kind")
+	assert.Equal(t, broken.Dropped(), uint64(1))
+	var none *Recorder
+	assert.Equal(t, none.Dropped(), uint64(0))
+}
