--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -74,6 +74,9 @@
 		return 0, false
 	case rec == nil:
 		r.markReplacedTargetsGone(&a)
+		if r.isReplaced(&a) {
+			a.State = Gone
+		}
 		rec = &record{Announcement: a}
 		r.records[a.ID] = rec
 		r.publish(rec, !relayed)
@@ -120,6 +123,17 @@
 	}
 }
 
+// isReplaced reports whether a target that started later has announced itself at a's
+// address: the announcement was delayed, and its sender has ended.
+func (r *Registry) isReplaced(a *Announcement) bool {
+	for id, other := range r.records {
+		if id != a.ID && a.Address != "" && other.Address == a.Address && other.State != Gone && other.Incarnation > a.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // publish gives the record the next number, adds it to the history and wakes
 // the readers.
 func (r *Registry) publish(rec *record, urgent bool) {
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -170,3 +170,15 @@
 		_, _, _ = r.Since(r.lastNumber - 1)
 	}
 }
+
+// Guards against a delayed announcement of a target that has ended, which arrives after
+// a later one has started at its address, also when no control instance remembers it.
+func TestDelayedAnnouncementOfReplacedTargetNamesNoTarget(t *testing.T) {
+	r, _ := newTestRegistry()
+	r.Announce(readyAnnouncement("new", 9, 1), false)
+	r.Announce(readyAnnouncement("old", 5, 70), false)
+	assert.Equal(t, announcementOf(t, r, "old").State, Gone)
+	assert.Equal(t, announcementOf(t, r, "new").State, Ready)
+	r.Announce(readyAnnouncement("old", 5, 71), false)
+	assert.Equal(t, announcementOf(t, r, "old").State, Gone)
+}
