standin/faults: each cell is bounded

Cause: make faults beside busy processes once had not ended after 9 minutes; a cell ran without a deadline, so one wait without an end held the whole run. What it waited for is not known. Change: a cell ends after 3 minutes; one that does not is reported with the stacks of all goroutines.

--- a/standin/faults/faults_test.go
+++ b/standin/faults/faults_test.go
@@ -65,3 +65,23 @@
 	slices.Sort(known)
 	assert.DeepEqual(t, source, known)
 }
+
+// Guards against a matrix that never ends because one cell waits for something that
+// never happens.
+func TestCellIsBounded(t *testing.T) {
+	const timeout = 10 * time.Millisecond
+	release := make(chan struct{})
+	defer close(release)
+	_, err := runBounded(t.Context(), timeout, timeout, func(context.Context) (Result, error) {
+		waitForNothing(release)
+		return Result{}, nil
+	})
+	assert.ErrorContains(t, err, "waitForNothing", "the error does not show what the cell waits for")
+	_, err = runBounded(t.Context(), timeout, time.Minute, func(ctx context.Context) (Result, error) {
+		<-ctx.Done()
+		return Result{}, ctx.Err()
+	})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
+func waitForNothing(release <-chan struct{}) { <-release }
--- a/standin/faults/matrix.go
+++ b/standin/faults/matrix.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"sync"
 	"time"
@@ -39,7 +40,12 @@
 	for range m.Parallel {
 		wg.Go(func() {
 			for cells := range jobs {
-				result, err := Run(ctx, m.BinDir, m.Seed, cells...)
+				result, err := runBounded(ctx, cellTimeout, abandonAfter, func(ctx context.Context) (Result, error) {
+					return Run(ctx, m.BinDir, m.Seed, cells...)
+				})
+				if result.Cells == nil {
+					result.Cells = cells
+				}
 				mu.Lock()
 				m.countResult(&s, result, err)
 				mu.Unlock()
@@ -52,6 +58,41 @@
 	return s
 }
 
+// Bounds on the duration of one cell or pair. A cell that goes on for abandonAfter
+// beyond cellTimeout, when its context has ended, is reported with the stacks of all
+// goroutines, which show what it waits for.
+const (
+	cellTimeout  = 3 * time.Minute
+	abandonAfter = 20 * time.Second
+	maxStackDump = 1 << 20
+)
+
+// runBounded runs a cell within timeout, and waits at most grace for it to end after
+// that.
+func runBounded(ctx context.Context, timeout, grace time.Duration, run func(context.Context) (Result, error)) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	type outcome struct {
+		result Result
+		err    error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		result, err := run(ctx)
+		done <- outcome{result, err}
+	}()
+	abandon := time.NewTimer(timeout + grace)
+	defer abandon.Stop()
+	select {
+	case o := <-done:
+		return o.result, o.err
+	case <-abandon.C:
+		stacks := make([]byte, maxStackDump)
+		stacks = stacks[:runtime.Stack(stacks, true)]
+		return Result{}, fmt.Errorf("did not end within %v after its timeout; goroutines:\n%s", grace, stacks)
+	}
+}
+
 // cellDuration is the approximate duration of one cell. No cell is started if less
 // time is left until Matrix.Until.
 const cellDuration = 15 * time.Second
