forward: many instances together keep the rate that a cold target bears

Cause: each instance's bucket for a cold target began with a token, so 100 instances could send 100 requests at the moment at which it starts, where 35 are allowed (20 a second, half more, and 5).

Change: together the buckets begin with 5 tokens and get the next ones evenly. A test with 1 to 300 instances failed at 100 before.

--- a/internal/forward/decide_test.go
+++ b/internal/forward/decide_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -117,6 +118,45 @@
 	assert.Assert(t, taken > 4 && taken <= 10, "%d requests in 2 s at 10 a second for two instances", taken)
 }
 
+// Guards against a cold target that gets a request of each of many instances at the
+// moment at which it starts: it looks empty to all of them, and crashes.
+func TestManyInstancesTogetherKeepTheColdRate(t *testing.T) {
+	// Of the load that a cold target bears the platform allows half more and 5 requests.
+	const seconds, coldOverrun, coldSlack = 3, 1.5, 5
+	for _, instances := range []int{1, 6, 24, 100, 300} {
+		v := viewOf(target("a1", "r-a", time.Minute))
+		v.Entries = map[string]fleet.Watcher{}
+		for i := range instances {
+			v.Entries[fmt.Sprint(i)] = fleet.Watcher{}
+		}
+		var tables []*table
+		for range instances {
+			tables = append(tables, testTable(v))
+		}
+		q := engineRequest(1)
+		q.service.ColdPerSecond = 20
+		var sent [1000 * seconds]int
+		for ms := range sent {
+			for _, tb := range tables {
+				if tb.acquireLease(tb.demandFor(q, nil), testNow.Add(time.Duration(ms)*time.Millisecond)) != nil {
+					sent[ms]++
+				}
+			}
+		}
+		inWindow, most, total := 0, 0, 0
+		for ms, n := range sent {
+			inWindow += n
+			total += n
+			if ms >= 1000 {
+				inWindow -= sent[ms-1000]
+			}
+			most = max(most, inWindow)
+		}
+		assert.Assert(t, float64(most) <= 20*coldOverrun+coldSlack, "%d requests in one second from %d instances", most, instances)
+		assert.Assert(t, total >= 20*seconds/2, "%d instances use only %d of %d", instances, total, 20*seconds)
+	}
+}
+
 // Guards against requests to a target that fails repeatedly while others could
 // serve them, and against avoiding that target forever.
 func TestFailingTargetIsAvoidedTemporarily(t *testing.T) {
--- a/internal/forward/lease.go
+++ b/internal/forward/lease.go
@@ -41,14 +41,25 @@
 	refilledAt time.Time
 }
 
+// coldBurst is how many requests all instances together may send to a cold target at
+// the moment at which it starts.
+const coldBurst = 5
+
+// newTokenBucket returns the bucket of one of the given number of instances. Together
+// they begin with coldBurst tokens and then get the next ones evenly over time, as if
+// they had been taking tokens for long. random is in [0, 1).
+func newTokenBucket(instances int, random float64, now time.Time) tokenBucket {
+	full := min(1, coldBurst/float64(instances))
+	if random < full {
+		return tokenBucket{tokens: 1, refilledAt: now}
+	}
+	return tokenBucket{tokens: (random - full) / (1 - full), refilledAt: now}
+}
+
 // takeToken refills the bucket at the given rate, in tokens per second, and
 // reports whether it could take a token.
 func (c *tokenBucket) takeToken(rate float64, now time.Time) bool {
-	if c.refilledAt.IsZero() {
-		c.tokens = 1
-	} else {
-		c.tokens = min(c.tokens+rate*now.Sub(c.refilledAt).Seconds(), max(1, rate/4))
-	}
+	c.tokens = min(c.tokens+rate*now.Sub(c.refilledAt).Seconds(), max(1, rate/4))
 	c.refilledAt = now
 	if c.tokens < 1 {
 		return false
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -230,7 +230,11 @@
 	if !now.Before(e.target.ColdUntil) || s.ColdPerSecond <= 0 {
 		return true
 	}
-	return e.coldBucket.takeToken(coldShare*s.ColdPerSecond/float64(t.view.EntryCount()), now)
+	instances := t.view.EntryCount()
+	if e.coldBucket.refilledAt.IsZero() {
+		e.coldBucket = newTokenBucket(instances, rand.Float64(), now)
+	}
+	return e.coldBucket.takeToken(coldShare*s.ColdPerSecond/float64(instances), now)
 }
 
 // instanceCount returns the number of instances that share the targets.
