--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -184,7 +184,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	f.config.Metrics.Counter("forward.requests").Inc(1)
-	f.work.add(requestWork, arrived)
+	f.work.add(requestWork, int(max(0, r.ContentLength)), arrived)
 	if f.isStopping() || len(r.TransferEncoding) > 0 {
 		// net/http ignores a Content-Length next to a chunked body. Closing the
 		// connection keeps a request that is smuggled after such a body from
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -84,6 +84,7 @@
 func (f *Forwarder) recordResponse(q *request, a *attemptHistory, o *outcome) {
 	after := time.Since(q.arrived)
 	f.config.Metrics.Counter("forward.answered").Inc(1)
+	f.work.add(0, len(o.body), time.Now())
 	f.latencies.Record(responseLatency, after)
 	if a.sends > 1 || f.latencies.sampleForLog() {
 		f.config.Logger.Info().Str("request", q.id).Str("route", q.route.Name).Str("target", o.lease.endpoint.id).
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -190,7 +190,7 @@
 			r.f.latencies.Record(firstEventLatency, r.timeToFirstEvent)
 		}
 		r.lastEventAt = now
-		r.f.work.add(eventWork, now)
+		r.f.work.add(eventWork, len(raw), now)
 		r.sendHeader()
 		if _, err := r.out.Write(raw); err != nil {
 			return errCallerGone
--- a/internal/forward/work_test.go
+++ b/internal/forward/work_test.go
@@ -12,11 +12,12 @@
 func TestWorkMeterFollowsLoad(t *testing.T) {
 	var m workMeter
 	now := time.Unix(1000, 0)
-	assert.Equal(t, m.rate(now), 0.0)
+	assert.Equal(t, m.rate(now), Work{})
 	for range 500 {
-		m.add(requestWork, now)
+		m.add(requestWork, 100, now)
 	}
-	assert.Equal(t, m.rate(now), 0.1)
-	assert.Equal(t, m.rate(now.Add(time.Second)), 0.1)
-	assert.Equal(t, m.rate(now.Add(2*time.Second)), 0.0)
+	want := Work{Processor: 100 * time.Millisecond, Bytes: 50_000}
+	assert.Equal(t, m.rate(now), want)
+	assert.Equal(t, m.rate(now.Add(time.Second)), want)
+	assert.Equal(t, m.rate(now.Add(2*time.Second)), Work{})
 }
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -23,8 +23,9 @@
 	// leaveDelay is how long a stopping instance continues to serve: the longest
 	// time that callers use an address, plus the time until it is no longer listed.
 	leaveDelay = 3*directory.TTL + 1500*time.Millisecond
-	// plannedUtilization is the share of its processors that an instance uses before
-	// callers are sent to further ones. It leaves room for a burst until they are listed.
+	// plannedUtilization is the share of its processors and of its link that an instance
+	// uses before callers are sent to further ones. It leaves room for a burst until
+	// they are listed.
 	plannedUtilization = 0.3
 	// stopMargin is the part of the grace period left for the process to exit.
 	stopMargin = 400 * time.Millisecond
@@ -37,11 +38,12 @@
 	CallerAddress string
 	ReadyAddress  string
 	// Cores is the processor limit of the instance; 0 means one processor.
-	Cores   float64
-	Regions map[string]string // region of each failure domain
-	Headers forward.Headers
-	Engines forward.Engines
-	Budget  forward.BudgetConfig
+	// LinkBytes is the capacity of its link in bytes per second; 0 means no limit.
+	Cores, LinkBytes float64
+	Regions          map[string]string // region of each failure domain
+	Headers          forward.Headers
+	Engines          forward.Engines
+	Budget           forward.BudgetConfig
 	// Decode parses a manifest document.
 	Decode func([]byte) (*manifest.Manifest, error)
 	// ReadyHandler returns the handler of the platform's readiness check; ready returns its result.
@@ -69,12 +71,8 @@
 		Logger: env.Log, Metrics: env.Metrics, BufferBytes: bufferBytes,
 	})
 	self := fleet.Watcher{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain, Address: c.CallerAddress, InternalAddress: c.InternalAddress}
-	cores := c.Cores
-	if cores <= 0 {
-		cores = 1
-	}
 	follower := fleet.NewFollower(self, c.Seeds, views, env.PeerClient, env.Log, env.Metrics)
-	follower.ReportLoad(func() float64 { return forwarder.Work() / (plannedUtilization * cores) })
+	follower.ReportLoad(func() float64 { return c.load(forwarder.Work()) })
 	exchange, err := loads.Listen(c.Name, c.FailureDomain, c.InternalAddress, views.Entries, forwarder, env.Metrics)
 	if err != nil {
 		return trace.Wrap(err)
@@ -116,3 +114,16 @@
 	env.Log.Info().Msg("stopped")
 	return nil
 }
+
+// load returns the work of one second in multiples of what an instance is planned to do.
+func (c *EntryConfig) load(w forward.Work) float64 {
+	cores := c.Cores
+	if cores <= 0 {
+		cores = 1
+	}
+	used := w.Processor.Seconds() / cores
+	if c.LinkBytes > 0 {
+		used = max(used, float64(w.Bytes)/c.LinkBytes)
+	}
+	return used / plannedUtilization
+}
