--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -30,6 +30,8 @@
 	// unlistedPollTime is how long a control instance is still polled after the
 	// last response that listed it.
 	unlistedPollTime = 10 * time.Second
+	// maxReportedLoad bounds the load that is reported to control instances.
+	maxReportedLoad = 1000.0
 	// maxControlInstances bounds the control instances that are polled.
 	maxControlInstances = 16
 )
@@ -200,7 +202,7 @@
 	defer context.AfterFunc(selfContext, cancel)()
 	watcher := watcherToProto(&self)
 	if f.load != nil {
-		watcher.Load = uint32(f.load() * loadUnit)
+		watcher.Load = uint32(min(f.load(), maxReportedLoad) * loadUnit)
 	}
 	resp, err := client.Watch(ctx, &api.FleetWatchRequest{
 		Watcher: watcher, StateIndex: f.views.stateIndex(),
