entry/target, stand-ins: a target can refuse a generation by its age

Only the target can notice.

Change: X-Start-Before, a second after the last check; the stand-in engine refuses a generation that it reads later as not run.

--- a/internal/entry/target/engine.go
+++ b/internal/entry/target/engine.go
@@ -31,8 +31,15 @@
 const (
 	RequestIDHeader = "X-Request-Id"
 	notRunHeader    = "X-Not-Run"
+	// StartBeforeHeader holds the time, in microseconds of Unix time, after which a
+	// target refuses to start a generation.
+	StartBeforeHeader = "X-Start-Before"
 )
 
+// startWindow is how long after its last check a generation may start. If this process
+// is frozen between the check and the first byte sent, only the target can notice.
+const startWindow = time.Second
+
 // NotSentError means that no byte was sent to the target: the connection could not be
 // opened, or the check right before the dispatch failed.
 type NotSentError struct{ Err error }
@@ -92,7 +99,9 @@
 	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(RequestIDHeader, id)
-	return e.openStream(ctx, address, r, hooks)
+	return e.openStream(ctx, address, r, hooks, func() {
+		r.Header.Set(StartBeforeHeader, strconv.FormatInt(time.Now().Add(startWindow).UnixMicro(), 10))
+	})
 }
 
 // Resume opens the stream of an existing generation at a token offset. Errors are as
@@ -103,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return e.openStream(ctx, address, r, hooks)
+	return e.openStream(ctx, address, r, hooks, func() {})
 }
 
 // Cancel cancels a generation within cancelTimeout, even if ctx has ended.
@@ -161,12 +170,14 @@
 	return c, nil
 }
 
-// openStream sends a request on a new connection and reads the response header.
-func (e Engine) openStream(ctx context.Context, address string, r *http.Request, hooks Hooks) (*Stream, error) {
+// openStream sends a request on a new connection and reads the response header. prepare
+// is called once the connection is open, before the request is serialized.
+func (e Engine) openStream(ctx context.Context, address string, r *http.Request, hooks Hooks, prepare func()) (*Stream, error) {
 	raw, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	prepare()
 	data, err := encodeRequest(r)
 	if err == nil {
 		err = raw.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -88,6 +88,11 @@
 		http.Error(w, "X-Request-Id, stream and a priority from 0 to 9 are required", http.StatusBadRequest)
 		return
 	}
+	if isTooLate(r, time.Now()) {
+		w.Header().Set("X-Not-Run", "true")
+		http.Error(w, "the time until which the generation may start has passed", http.StatusServiceUnavailable)
+		return
+	}
 	g, result := e.acceptGeneration(id, req.prompt(), req.Priority, req.MaxTokens, netfault.ArrivedAt(r))
 	switch result {
 	case refusedDuplicate:
@@ -100,6 +105,13 @@
 	}
 }
 
+// isTooLate reports whether a request may no longer start a generation: its sender may
+// have been frozen after it had checked that the request is allowed.
+func isTooLate(r *http.Request, now time.Time) bool {
+	until, err := strconv.ParseInt(r.Header.Get("X-Start-Before"), 10, 64)
+	return err == nil && now.UnixMicro() > until
+}
+
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
 	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
 	if err != nil || offset < 0 {
--- a/standin/engine/http_test.go
+++ b/standin/engine/http_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -214,3 +216,16 @@
 	assert.Equal(t, text, expected.Output("lot 1", 60).Text(0))
 	assert.Assert(t, done)
 }
+
+// Guards against a generation that starts although its sender was frozen after the last
+// check, and against refusing senders that do not set the header.
+func TestLateGenerationIsNotStarted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for value, late := range map[string]bool{
+		"": false, "x": false, strconv.FormatInt(now.UnixMicro(), 10): false, strconv.FormatInt(now.UnixMicro()-1, 10): true,
+	} {
+		r := httptest.NewRequest(http.MethodPost, "/", nil)
+		r.Header.Set("X-Start-Before", value)
+		assert.Equal(t, isTooLate(r, now), late, "%q", value)
+	}
+}
