forward: the burst to a cold target follows its rate

Change: the burst is 0.45 s of the rate that the target bears; with the second after it that stays below one and a half times the rate. The test of many instances covers rates of 10, 20 and 42.

--- a/internal/forward/decide_test.go
+++ b/internal/forward/decide_test.go
@@ -123,7 +123,11 @@
 func TestManyInstancesTogetherKeepTheColdRate(t *testing.T) {
 	// Of the load that a cold target bears the platform allows half more and 5 requests.
 	const seconds, coldOverrun, coldSlack = 3, 1.5, 5
-	for _, instances := range []int{1, 6, 24, 100, 300} {
+	for _, c := range []struct {
+		instances int
+		rate      float64
+	}{{1, 20}, {6, 20}, {24, 20}, {100, 20}, {300, 20}, {24, 10}, {24, 42}, {100, 42}} {
+		instances := c.instances
 		v := viewOf(target("a1", "r-a", time.Minute))
 		v.Entries = map[string]fleet.Watcher{}
 		for i := range instances {
@@ -134,7 +138,7 @@
 			tables = append(tables, testTable(v))
 		}
 		q := engineRequest(1)
-		q.service.ColdPerSecond = 20
+		q.service.ColdPerSecond = c.rate
 		var sent [1000 * seconds]int
 		for ms := range sent {
 			for _, tb := range tables {
@@ -152,8 +156,8 @@
 			}
 			most = max(most, inWindow)
 		}
-		assert.Assert(t, float64(most) <= 20*coldOverrun+coldSlack, "%d requests in one second from %d instances", most, instances)
-		assert.Assert(t, total >= 20*seconds/2, "%d instances use only %d of %d", instances, total, 20*seconds)
+		assert.Assert(t, float64(most) <= c.rate*coldOverrun+coldSlack, "%d requests in one second from %d instances", most, instances)
+		assert.Assert(t, float64(total) >= c.rate*seconds/2, "%d instances use only %d of %v", instances, total, c.rate*seconds)
 	}
 }
 
--- a/internal/forward/lease.go
+++ b/internal/forward/lease.go
@@ -41,15 +41,16 @@
 	refilledAt time.Time
 }
 
-// coldBurst is how many requests all instances together may send to a cold target at
-// the moment at which it starts.
-const coldBurst = 5
+// coldBurst returns how many requests all instances together may send to a cold target
+// at the moment at which it starts, if it bears ratePerSecond. With what they may send
+// in the second after that they stay well below one and a half times the rate.
+func coldBurst(ratePerSecond float64) float64 { return coldBurstShare * ratePerSecond }
 
 // newTokenBucket returns the bucket of one of the given number of instances. Together
-// they begin with coldBurst tokens and then get the next ones evenly over time, as if
-// they had been taking tokens for long. random is in [0, 1).
-func newTokenBucket(instances int, random float64, now time.Time) tokenBucket {
-	full := min(1, coldBurst/float64(instances))
+// they begin with burst tokens and then get the next ones evenly over time, as if they
+// had been taking tokens for long. random is in [0, 1).
+func newTokenBucket(instances int, burst, random float64, now time.Time) tokenBucket {
+	full := min(1, burst/float64(instances))
 	if random < full {
 		return tokenBucket{tokens: 1, refilledAt: now}
 	}
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -20,6 +20,9 @@
 	// coldShare is the fraction of a cold target's request rate that all
 	// instances together use.
 	coldShare = 0.8
+	// coldBurstShare is the part of the requests of one second that all instances
+	// together may send at once to a target that starts cold.
+	coldBurstShare = 0.45
 	// suspectMin is how long a target is avoided after its first failure. Each
 	// consecutive failure doubles the time, up to suspectMax.
 	suspectMin = 300 * time.Millisecond
@@ -232,7 +235,7 @@
 	}
 	instances := t.view.EntryCount()
 	if e.coldBucket.refilledAt.IsZero() {
-		e.coldBucket = newTokenBucket(instances, rand.Float64(), now)
+		e.coldBucket = newTokenBucket(instances, coldBurst(s.ColdPerSecond), rand.Float64(), now)
 	}
 	return e.coldBucket.takeToken(coldShare*s.ColdPerSecond/float64(instances), now)
 }
