--- a/internal/fleet/announce.go
+++ b/internal/fleet/announce.go
@@ -48,7 +48,7 @@
 
 // awaitWatchers waits until all live watchers have applied an announcement. After
 // the timeout it also succeeds if another control instance has accepted the
-// announcement or a watcher has applied it while others are live: those may be dark.
+// announcement or a watcher has applied it while others are live: those may be unreachable.
 func (s *Server) awaitWatchers(ctx context.Context, number uint64, relayResult <-chan bool) error {
 	timeout := time.NewTimer(confirmTimeout)
 	defer timeout.Stop()
--- a/internal/fleet/gather.go
+++ b/internal/fleet/gather.go
@@ -13,8 +13,8 @@
 type GatherTimes struct{ Urgent, Other time.Duration }
 
 // The time per live watcher and the longest time for which changes are gathered.
-// Instances to which callers are not sent have no use for prompt news; a target that
-// leaves serves on for much longer than maxGatherIdle.
+// Instances to which callers are not sent do not need changes at once: a target that
+// leaves continues to serve for much longer than maxGatherIdle.
 const (
 	gatherUrgentPerWatcher = 100 * time.Microsecond
 	maxGatherUrgent        = 50 * time.Millisecond
--- a/internal/fleet/server_test.go
+++ b/internal/fleet/server_test.go
@@ -133,7 +133,7 @@
 	end := c.watchers.BeginPoll(Watcher{Name: "e2"}, 0, time.Minute)
 	err := c.Announce(context.Background(), asDraining(readyAnnouncement("i1", 1, 2)))
 	assert.Equal(t, resultcode.From(err).Code, resultcode.ControlUnavailable)
-	// One of them has applied it; the other may be dark.
+	// One of them has applied it; the other may be unreachable.
 	end(false)
 	c.watchers.BeginPoll(Watcher{Name: "e2"}, 1, time.Minute)
 	assert.NilError(t, c.Announce(context.Background(), asDraining(readyAnnouncement("i1", 1, 3))))
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -189,11 +189,11 @@
 }
 
 func (s *ViewStore) mergeTargets(next *View, announcements []Announcement) bool {
-	isNews := func(a Announcement) bool {
+	supersedesKnown := func(a Announcement) bool {
 		old, known := next.Targets[a.ID]
 		return !known || a.supersedes(&old.Announcement)
 	}
-	if !slices.ContainsFunc(announcements, isNews) {
+	if !slices.ContainsFunc(announcements, supersedesKnown) {
 		return false // each control instance reports every change
 	}
 	now := s.now()
--- a/internal/fleet/watchers_test.go
+++ b/internal/fleet/watchers_test.go
@@ -65,7 +65,7 @@
 }
 
 // Guards against hundreds of instances that are each called for every change, and
-// against news that reach the instances with traffic late.
+// against changes that reach the instances with traffic late.
 func TestGatherTimesGrowWithWatchers(t *testing.T) {
 	c := &testClock{current: time.Unix(1000, 0)}
 	w := NewWatchers(c.now)
--- a/internal/forward/decide_test.go
+++ b/internal/forward/decide_test.go
@@ -121,7 +121,7 @@
 // Guards against a cold target that gets a request of each of many instances at the
 // moment at which it starts: it looks empty to all of them, and crashes.
 func TestManyInstancesTogetherKeepTheColdRate(t *testing.T) {
-	// Of the load that a cold target bears the platform allows half more and 5 requests.
+	// The platform allows half more than the rate that a cold target sustains, plus 5 requests.
 	const seconds, coldOverrun, coldSlack = 3, 1.5, 5
 	for _, c := range []struct {
 		instances int
--- a/internal/forward/lease.go
+++ b/internal/forward/lease.go
@@ -42,7 +42,7 @@
 }
 
 // coldBurst returns how many requests all instances together may send to a cold target
-// at the moment at which it starts, if it bears ratePerSecond. With what they may send
+// at the moment at which it starts, if it sustains ratePerSecond. With what they may send
 // in the second after that they stay well below one and a half times the rate.
 func coldBurst(ratePerSecond float64) float64 { return coldBurstShare * ratePerSecond }
 
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -136,7 +136,7 @@
 	assert.Assert(t, !g.idle())
 	alone := peerGroup{interval: localInterval, rate: localRate}
 	assert.Assert(t, !alone.markSentIfDue(map[string]forward.Load{"i": {Requests: 1}}, now))
-	assert.Assert(t, !alone.idle(), "a peer that is listed later must be told of the load")
+	assert.Assert(t, !alone.idle(), "a peer that is listed later must receive the load")
 	alone.markSentIfDue(map[string]forward.Load{}, now)
 	assert.Assert(t, alone.idle())
 }
