forward: instances begin with evenly spread positions at a cold target

Cause: go test -race ./internal/forward failed once in TestManyInstancesTogetherKeepTheColdRate: 36 requests in one second from 100 instances where 35 are allowed. Each bucket drew its first tokens at random, so the number of full ones varied (mean 9 of 100).

Change: the position of an instance follows from its rank among the listed ones and the target's id, so the positions of all are spread evenly.

--- a/internal/forward/decide_test.go
+++ b/internal/forward/decide_test.go
@@ -134,8 +134,10 @@
 			v.Entries[fmt.Sprint(i)] = fleet.Watcher{}
 		}
 		var tables []*table
-		for range instances {
-			tables = append(tables, testTable(v))
+		for i := range instances {
+			tb := testTable(v)
+			tb.self.Name = fmt.Sprint(i)
+			tables = append(tables, tb)
 		}
 		q := engineRequest(1)
 		q.service.ColdPerSecond = c.rate
--- a/internal/forward/lease.go
+++ b/internal/forward/lease.go
@@ -48,13 +48,14 @@
 
 // newTokenBucket returns the bucket of one of the given number of instances. Together
 // they begin with burst tokens and then get the next ones evenly over time, as if they
-// had been taking tokens for long. random is in [0, 1).
-func newTokenBucket(instances int, burst, random float64, now time.Time) tokenBucket {
+// had been taking tokens for long. position is that of this instance among them, from 0
+// to 1.
+func newTokenBucket(instances int, burst, position float64, now time.Time) tokenBucket {
 	full := min(1, burst/float64(instances))
-	if random < full {
+	if position < full {
 		return tokenBucket{tokens: 1, refilledAt: now}
 	}
-	return tokenBucket{tokens: (random - full) / (1 - full), refilledAt: now}
+	return tokenBucket{tokens: (position - full) / (1 - full), refilledAt: now}
 }
 
 // takeToken refills the bucket at the given rate, in tokens per second, and
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/manifest"
 )
@@ -235,11 +237,29 @@
 	}
 	instances := t.view.EntryCount()
 	if e.coldBucket.refilledAt.IsZero() {
-		e.coldBucket = newTokenBucket(instances, coldBurst(s.ColdPerSecond), rand.Float64(), now)
+		e.coldBucket = newTokenBucket(instances, coldBurst(s.ColdPerSecond), t.coldPosition(e.id), now)
 	}
 	return e.coldBucket.takeToken(coldShare*s.ColdPerSecond/float64(instances), now)
 }
 
+// coldPosition returns the position in [0, 1) of this instance among those that share
+// a cold target. The positions of all instances are spread evenly, in another order for
+// each target. An instance that is not listed takes a random one.
+func (t *table) coldPosition(target string) float64 {
+	if _, listed := t.view.Entries[t.self.Name]; !listed {
+		return rand.Float64()
+	}
+	rank := 0
+	for name := range t.view.Entries {
+		if name < t.self.Name {
+			rank++
+		}
+	}
+	n := len(t.view.Entries)
+	shifted := (rank + int(xxhash.Sum64String(target)%uint64(n))) % n
+	return (float64(shifted) + 0.5) / float64(n)
+}
+
 // instanceCount returns the number of instances that share the targets.
 func (t *table) instanceCount() int {
 	t.mu.Lock()
