--- /dev/null
+++ b/internal/forward/deadly_test.go
@@ -0,0 +1,201 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/fleet"
+)
+
+const (
+	// deadlyPart crashes each target that begins to answer a request with it.
+	deadlyPart = "dead"
+	// deadlyLimit is how many requests with a deadly part may reach targets: the five
+	// whose crashes show it, and three more.
+	deadlyLimit = 8
+	// targetRestart is how long a crashed target stays away.
+	targetRestart = 400 * time.Millisecond
+	// firstEventDelay is how long a target works before it begins to answer.
+	firstEventDelay = 5 * time.Millisecond
+)
+
+// mortalTarget answers streams of three events, and crashes when it begins to answer a
+// request with deadlyPart: its process ends, so that it refuses connections, and a new
+// incarnation starts at the same address after targetRestart.
+type mortalTarget struct {
+	id, address string
+
+	mu          sync.Mutex
+	incarnation int64
+	listener    net.Listener
+	conns       map[net.Conn]bool
+	deadly      int // requests with deadlyPart that arrived
+	crashes     int
+	onRestart   func(incarnation int64)
+}
+
+func newMortalTarget(t *testing.T, id string) *mortalTarget {
+	t.Helper()
+	x := &mortalTarget{id: id, conns: map[net.Conn]bool{}}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	x.address = l.Addr().String()
+	x.start(l)
+	t.Cleanup(x.crash)
+	return x
+}
+
+func (x *mortalTarget) start(l net.Listener) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.listener = l
+	x.incarnation++
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			x.mu.Lock()
+			x.conns[c] = true
+			x.mu.Unlock()
+			go x.serve(c)
+		}
+	}()
+}
+
+// crash closes the listener and all connections, as the end of a process does.
+func (x *mortalTarget) crash() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	_ = x.listener.Close()
+	for c := range x.conns {
+		_ = c.Close()
+	}
+	clear(x.conns)
+}
+
+func (x *mortalTarget) restart() {
+	l, err := net.Listen("tcp4", x.address)
+	if err != nil {
+		return // the address is in use again: the target stays away
+	}
+	x.start(l)
+	x.mu.Lock()
+	onRestart, incarnation := x.onRestart, x.incarnation
+	x.mu.Unlock()
+	onRestart(incarnation)
+}
+
+func (x *mortalTarget) serve(c net.Conn) {
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		deadly := strings.Contains(r.Header.Get("T-Parts"), deadlyPart)
+		if deadly {
+			x.mu.Lock()
+			x.deadly++
+			x.mu.Unlock()
+		}
+		time.Sleep(firstEventDelay)
+		if deadly {
+			x.mu.Lock()
+			x.crashes++
+			x.mu.Unlock()
+			x.crash()
+			time.AfterFunc(targetRestart, x.restart)
+			return
+		}
+		streamsEvents(3, 0)(seenRequest{r, ""}, c)
+	}
+}
+
+func (x *mortalTarget) counts() (deadly, crashes int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.deadly, x.crashes
+}
+
+func sumCounts(targets []*mortalTarget) (deadly, crashes int) {
+	for _, x := range targets {
+		d, c := x.counts()
+		deadly += d
+		crashes += c
+	}
+	return deadly, crashes
+}
+
+func newMortalTargets(t *testing.T, n int) []*mortalTarget {
+	var targets []*mortalTarget
+	for i := range n {
+		targets = append(targets, newMortalTarget(t, fmt.Sprintf("i%d", i)))
+	}
+	return targets
+}
+
+// announceMortal announces the targets to all fixtures, now and after each restart.
+func announceMortal(t *testing.T, targets []*mortalTarget, fixtures ...*fixture) {
+	var mu sync.Mutex
+	sequence := uint64(0)
+	announce := func(x *mortalTarget, incarnation int64) {
+		mu.Lock()
+		defer mu.Unlock()
+		sequence++
+		for _, f := range fixtures {
+			f.views.Merge(nil, []fleet.Announcement{{
+				ID: x.id, Service: "llm", Address: x.address, FailureDomain: "r-a", Incarnation: incarnation, Sequence: sequence, Slots: 4, State: fleet.Ready,
+			}})
+			f.syncTargets()
+		}
+	}
+	for _, x := range targets {
+		x.mu.Lock()
+		x.onRestart = func(incarnation int64) { announce(x, incarnation) }
+		x.mu.Unlock()
+		announce(x, 1)
+	}
+}
+
+// playDeadly sends deadly and sound requests in turn through the fixtures, no two alike,
+// and returns how many of the last half of the sound ones were served.
+func playDeadly(t *testing.T, rounds int, fixtures ...*fixture) (served, sound int) {
+	t.Helper()
+	for n := range rounds {
+		f := fixtures[n%len(fixtures)]
+		id := fmt.Sprint(n)
+		_, _, _ = f.call(t, "POST", "/short/", "pay", "T-Id", "d-"+id, "T-Parts", "5a:50,"+deadlyPart+":30,0"+id+":20") // fails
+		for k := range 3 {
+			resp, body, err := f.call(t, "POST", "/short/", "pay", "T-Id", fmt.Sprintf("s-%d-%d", n, k), "T-Parts", fmt.Sprintf("5a:50,77%d:30,1%d%d:20", k, n, k))
+			if n < rounds/2 {
+				continue
+			}
+			sound++
+			if err == nil && resp.StatusCode == http.StatusOK && body == events(1, 3) {
+				served++
+			}
+		}
+		time.Sleep(80 * time.Millisecond)
+	}
+	return served, sound
+}
+
+func TestDeadlyPromptPartStopsReachingTargets(t *testing.T) {
+	targets := newMortalTargets(t, 6)
+	f := newFixture(t, "llm")
+	announceMortal(t, targets, f)
+	served, sound := playDeadly(t, 24, f)
+	deadly, crashes := sumCounts(targets)
+	assert.Assert(t, deadly <= deadlyLimit, "%d requests with the deadly part reached targets, %d crashes", deadly, crashes)
+	assert.Equal(t, served, sound, "sound requests are served once the part is known")
+}
