forward, quarantine: prompt parts that crash targets are found and refused

Cause: an attempt that ended with its target was an isolated failure; no instance remembered what a crashed target was beginning to answer, so each instance sent each further request with the same part, and each second attempt, to the next target. Class: failure without attribution, a request that kills its server and is retried. Change: a lost connection whose target then refuses connections is a crash; requests not yet answered, or begun within 500 ms, are its suspects. Instances exchange crashes and last successes by datagram. A set of parts is quarantined after three crashes, each by a request sent after the one before, of two requests or more, if no part of it was served meanwhile and the service served others; parts that cannot be told apart are refused only together. Answered 2011 at once, with the end of the quarantine as Retry-After. A restarted or unlisted instance asks its peers. List and lift at /quarantines of the metrics address.

--- /dev/null
+++ b/internal/forward/crash.go
@@ -0,0 +1,84 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/endivetrack/endivetrack/internal/netconn"
+	"github.com/endivetrack/endivetrack/internal/quarantine"
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// beginning is how long after the first event of a stream its target may still crash
+// because it began to answer that request.
+const beginning = 500 * time.Millisecond
+
+// place reserves capacity for the next attempt of a request. It returns nil if no target
+// can accept the request, or must not: the reason is then in the history.
+func (f *Forwarder) place(q *request, a *attemptHistory) *lease {
+	if found, ok := f.config.Quarantine.Match(q.parts); ok {
+		f.config.Metrics.Counter("quarantine.refused").Inc(1)
+		a.lastErr = resultcode.Newf(resultcode.PromptQuarantined, "targets crash when they answer a prompt with the parts %v", found.Parts).
+			WithRetryAfter(time.Until(found.Until))
+		return nil
+	}
+	return f.table.acquireLease(f.table.demandFor(q, a.exclude), time.Now())
+}
+
+// recordServed records that a target could bear the request.
+func (f *Forwarder) recordServed(q *request) {
+	if len(q.parts) > 0 {
+		f.config.Quarantine.RecordServed(q.service.Name, q.parts)
+	}
+}
+
+// legStarted reports whether the target of the current leg has been answering for longer
+// than beginning.
+func (r *streamSession) legStarted(now time.Time) bool {
+	return r.legEvents > 0 && now.Sub(r.legFirstEventAt) >= beginning
+}
+
+// recordServed records once that a target could bear the request.
+func (r *streamSession) recordServed() {
+	if !r.served {
+		r.served = true
+		r.f.recordServed(r.q)
+	}
+}
+
+// checkCrash records the request as a suspect if its target crashed while it began to
+// answer. A process that has ended refuses connections; one that only broke off a
+// response, or that cannot be reached, does not.
+func (f *Forwarder) checkCrash(q *request, o *outcome) {
+	e := o.lease.endpoint
+	if len(q.parts) == 0 || o.started || o.provenNotRun() || !isConnectionLost(o.err) || f.table.isDraining(e) {
+		return
+	}
+	lostAt := time.Now()
+	suspect := quarantine.NewSuspect(q.parts, o.lease.reservedAt)
+	go func() {
+		conn, err := netconn.Dial(context.Background(), e.address)
+		if err == nil {
+			_ = conn.Close() // an unused connection: nothing is lost
+			return
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			f.config.Quarantine.RecordCrash(quarantine.CrashID{Target: e.id, Incarnation: e.incarnation}, q.service.Name, lostAt, suspect)
+		}
+	}()
+}
+
+// isConnectionLost reports whether the target closed or reset the connection.
+func isConnectionLost(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// isDraining reports whether an endpoint leaves, so that the end of its process is planned.
+func (t *table) isDraining(e *endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return e.draining
+}
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/manifest"
+	"github.com/endivetrack/endivetrack/internal/quarantine"
 )
 
 // testHeaders are header names that only these tests use.
@@ -156,7 +157,7 @@
 	f.Forwarder = New(Config{
 		Self: Location{Name: "e1", Region: "r", FailureDomain: "r-a"}, Regions: map[string]string{"r-a": "r", "r-b": "r", "s-a": "s"},
 		Headers: testHeaders, Engines: f.engines, Budget: BudgetConfig{Window: time.Second, Ratio: 0.2, Slack: 100},
-		Views: f.views, Logger: zerolog.Nop(), Metrics: tally.NoopScope, BufferBytes: 1 << 20,
+		Views: f.views, Quarantine: quarantine.New(zerolog.Nop(), tally.NoopScope, time.Now), Logger: zerolog.Nop(), Metrics: tally.NoopScope, BufferBytes: 1 << 20,
 	})
 	assert.NilError(t, f.views.SetManifest(1, nil))
 	for _, x := range targets {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -22,6 +22,7 @@
 
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/manifest"
+	"github.com/endivetrack/endivetrack/internal/quarantine"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
@@ -83,8 +84,10 @@
 	Engines Engines
 	Budget  BudgetConfig
 	Views   *fleet.ViewStore
-	Logger  zerolog.Logger
-	Metrics tally.Scope
+	// Quarantine holds the parts of prompts that crash targets.
+	Quarantine *quarantine.Store
+	Logger     zerolog.Logger
+	Metrics    tally.Scope
 	// BufferBytes bounds the total size of the request bodies in memory.
 	BufferBytes int64
 }
@@ -342,7 +345,7 @@
 	if q.id != "" {
 		h.Set(f.config.Headers.RequestID, q.id)
 	}
-	if pause := retryAfter(e.Code); pause > 0 {
+	if pause := max(e.RetryAfter, retryAfter(e.Code)); pause > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 2, 64))
 	}
 	w.WriteHeader(httpStatus(e))
--- a/internal/forward/lease.go
+++ b/internal/forward/lease.go
@@ -8,6 +8,7 @@
 	endpoint      *endpoint
 	tokens        int
 	prefillTokens int
+	reservedAt    time.Time
 	released      bool
 }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -35,6 +35,7 @@
 	largeResponse *targetResponse // set if the response exceeds maxBufferedResponse: the rest of its body is unread
 	lease         *lease
 	events        int   // events that the target had sent
+	started       bool  // the target had been answering for longer than beginning
 	refused       bool  // the target stated that no part of the request ran
 	err           error // set if there is no complete response; if it is a notSentError, no part of the request ran
 }
@@ -62,7 +63,7 @@
 	var a attemptHistory
 	f.budget.recordRequest(q.service.Name, time.Now())
 	for {
-		l := f.table.acquireLease(f.table.demandFor(q, a.exclude), time.Now())
+		l := f.place(q, &a)
 		if l == nil {
 			return f.writeFailure(ctx, w, q, &a)
 		}
@@ -169,8 +170,12 @@
 	a.exclude = append(a.exclude, e)
 	if o.succeeded() {
 		f.table.clearFailures(e)
+		if o.status < http.StatusMultipleChoices {
+			f.recordServed(q)
+		}
 		return
 	}
+	f.checkCrash(q, o)
 	a.lastErr = o.err
 	if !o.provenNotRun() {
 		a.runs++
@@ -207,7 +212,10 @@
 // failureError returns the error for a request without a response when no
 // further attempt is made.
 func (f *Forwarder) failureError(ctx context.Context, q *request, a *attemptHistory) error {
+	var refusal *resultcode.Error
 	switch {
+	case !a.outcomeUnknown && a.runs == 0 && errors.As(a.lastErr, &refusal):
+		return refusal
 	case !a.outcomeUnknown && a.runs == 0:
 		return resultcode.Newf(resultcode.NoTarget, "no target of %q accepted the request (%v)", q.service.Name, a.lastErr)
 	case ctx.Err() != nil || errors.Is(a.lastErr, context.DeadlineExceeded):
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -30,6 +30,8 @@
 	timeToFirstEvent  time.Duration // time from the request's arrival to its first event
 	longestGap        time.Duration // longest time between two events
 	legEvents         int           // events that the target of the current leg has sent
+	legFirstEventAt   time.Time
+	served            bool // recorded as served
 	attemptHistory    attemptHistory
 	moves             int
 }
@@ -40,7 +42,7 @@
 	r := &streamSession{f: f, q: q, out: w}
 	f.budget.recordRequest(q.service.Name, time.Now())
 	var resume *resumePoint
-	l := f.table.acquireLease(f.table.demandFor(q, nil), time.Now())
+	l := f.place(q, &r.attemptHistory)
 	for {
 		if l == nil {
 			return r.failStream(ctx)
@@ -66,7 +68,7 @@
 		if r.lastEvent > 0 {
 			resume = &resumePoint{lastEvent: r.lastEvent}
 		}
-		l = f.table.acquireLease(f.table.demandFor(q, r.attemptHistory.exclude), time.Now())
+		l = f.place(q, &r.attemptHistory)
 	}
 }
 
@@ -128,16 +130,17 @@
 	} else if next := m.awaitHandoff(ctx); next != nil {
 		next.resume.lastEvent = r.lastEvent
 		r.moves++
-		return &outcome{lease: l, err: err, events: r.legEvents}, next
+		return &outcome{lease: l, err: err, events: r.legEvents, started: r.legStarted(time.Now())}, next
 	}
 	if err == nil {
 		r.f.table.clearFailures(l.endpoint)
+		r.recordServed()
 		r.f.config.Metrics.Counter("forward.streams_whole").Inc(1)
 		r.f.config.Logger.Info().Str("request", r.q.id).Str("target", l.endpoint.id).Int64("events", r.lastEvent).Strs("parts", r.q.parts).
 			Int("moves", r.moves).Dur("first", r.timeToFirstEvent).Dur("pause", r.longestGap).Dur("after", time.Since(r.q.arrived)).Msg("stream whole")
 		return nil, nil
 	}
-	return &outcome{lease: l, status: http.StatusOK, err: err, events: r.legEvents}, nil
+	return &outcome{lease: l, status: http.StatusOK, err: err, events: r.legEvents, started: r.legStarted(time.Now())}, nil
 }
 
 // logPlaced logs the chosen target with the load that the choice was based on.
@@ -181,7 +184,10 @@
 		now := time.Now()
 		r.legEvents++
 		if r.legEvents == 1 {
+			r.legFirstEventAt = now
 			l.endPrefill()
+		} else if r.legStarted(now) {
+			r.recordServed()
 		}
 		if r.firstEventArrived {
 			r.longestGap = max(r.longestGap, now.Sub(r.lastEventAt))
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -181,7 +181,7 @@
 	e.tokens += tokens
 	e.prefillTokens += q.tokens.prompt
 	t.noteLoadChange()
-	return &lease{table: t, endpoint: e, tokens: tokens, prefillTokens: q.tokens.prompt}
+	return &lease{table: t, endpoint: e, tokens: tokens, prefillTokens: q.tokens.prompt, reservedAt: time.Now()}
 }
 
 // reserveCapacity is reserveCapacityLocked for callers that do not hold t.mu.
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -12,6 +12,7 @@
 	"github.com/endivetrack/endivetrack/internal/forward"
 	"github.com/endivetrack/endivetrack/internal/loads"
 	"github.com/endivetrack/endivetrack/internal/manifest"
+	"github.com/endivetrack/endivetrack/internal/quarantine"
 )
 
 // Memory and shutdown limits of an entry instance.
@@ -65,15 +66,16 @@
 		bufferBytes = int64(bufferMemoryShare * float64(c.MemoryBytes))
 	}
 	views := fleet.NewViewStore(c.Decode, time.Now)
+	quarantined := quarantine.New(env.Log, env.Metrics, time.Now)
 	forwarder := forward.New(forward.Config{
 		Self: forward.Location{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain}, Regions: c.Regions,
-		Headers: c.Headers, Engines: c.Engines, Budget: c.Budget, Views: views,
+		Headers: c.Headers, Engines: c.Engines, Budget: c.Budget, Views: views, Quarantine: quarantined,
 		Logger: env.Log, Metrics: env.Metrics, BufferBytes: bufferBytes,
 	})
 	self := fleet.Watcher{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain, Address: c.CallerAddress, InternalAddress: c.InternalAddress}
 	follower := fleet.NewFollower(self, c.Seeds, views, env.PeerClient, env.Log, env.Metrics)
 	follower.ReportLoad(func() float64 { return c.load(forwarder.Work()) })
-	exchange, err := loads.Listen(c.Name, c.FailureDomain, c.InternalAddress, views.Entries, forwarder, env.Metrics)
+	exchange, err := loads.Listen(c.Name, c.FailureDomain, c.InternalAddress, views.Entries, forwarder, quarantined, env.Metrics)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -92,7 +94,7 @@
 		err = s.start(ctx, c.ReadyAddress, c.ReadyHandler(forwarder.Ready), nil)
 	}
 	if err == nil && c.MetricsAddress != "" {
-		err = s.start(ctx, c.MetricsAddress, env.MetricsHandler(logOutput), nil)
+		err = s.start(ctx, c.MetricsAddress, quarantined.Handler(env.MetricsHandler(logOutput)), nil)
 	}
 	if err != nil {
 		return err
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -68,6 +68,8 @@
 	failureDomain string
 	entries       func() map[string]fleet.Watcher
 	loads         LoadTable
+	evidence      EvidenceStore
+	askedAt       time.Time // when a peer was last asked for its evidence
 	conn          *net.UDPConn
 	metrics       tally.Scope
 }
@@ -75,7 +77,7 @@
 // Listen opens a UDP socket at address for the exchange of the instance named
 // self. entries returns the current entry instances by name. Run must be called
 // to use the exchange; it closes the socket.
-func Listen(self, failureDomain, address string, entries func() map[string]fleet.Watcher, loads LoadTable, metrics tally.Scope) (*Exchange, error) {
+func Listen(self, failureDomain, address string, entries func() map[string]fleet.Watcher, loads LoadTable, evidence EvidenceStore, metrics tally.Scope) (*Exchange, error) {
 	resolved, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, err
@@ -84,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange{self: self, failureDomain: failureDomain, entries: entries, loads: loads, conn: conn, metrics: metrics}, nil
+	return &Exchange{self: self, failureDomain: failureDomain, entries: entries, loads: loads, evidence: evidence, conn: conn, metrics: metrics}, nil
 }
 
 // Run exchanges loads until ctx ends. An instance without load sends nothing and does
@@ -92,6 +94,7 @@
 func (x *Exchange) Run(ctx context.Context) {
 	var receiver sync.WaitGroup
 	receiver.Go(func() { x.receiveLoads(ctx) })
+	receiver.Go(func() { x.shareEvidence(ctx) })
 	defer receiver.Wait()
 	defer x.conn.Close()
 	local := peerGroup{interval: localInterval, rate: localRate}
@@ -99,6 +102,7 @@
 	for x.awaitLoads(ctx, local.idle() && remote.idle()) {
 		local.peers, remote.peers = x.peers()
 		loads, now := x.loads.Loads(), time.Now()
+		x.askForEvidence(now)
 		for _, g := range []*peerGroup{&local, &remote} {
 			if g.markSentIfDue(loads, now) {
 				x.sendLoads(g.peers, loads)
@@ -188,6 +192,10 @@
 		x.metrics.Counter("loads.not_sent").Inc(1)
 		return
 	}
+	x.sendDatagram(data, peers)
+}
+
+func (x *Exchange) sendDatagram(data []byte, peers []string) {
 	for _, peer := range peers {
 		address, err := netip.ParseAddrPort(peer)
 		if err == nil {
@@ -208,10 +216,10 @@
 		if err := x.conn.SetReadDeadline(readDeadline(lastReceived)); err != nil {
 			return
 		}
-		n, _, err := x.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := x.conn.ReadFromUDPAddrPort(buffer)
 		now := time.Now()
 		if err == nil {
-			x.handleDatagram(buffer[:n], lastReceived, now)
+			x.handleDatagram(buffer[:n], from, lastReceived, now)
 		} else if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -243,11 +251,16 @@
 	}
 }
 
-// handleDatagram stores the loads from a peer's datagram, and now as the time of
+// handleDatagram merges a peer's evidence, or stores the loads from a peer's datagram, and now as the time of
 // receipt.
-func (x *Exchange) handleDatagram(datagram []byte, lastReceived map[string]time.Time, now time.Time) {
+func (x *Exchange) handleDatagram(datagram []byte, from netip.AddrPort, lastReceived map[string]time.Time, now time.Time) {
 	var m api.FleetLoad
-	if err := proto.Unmarshal(datagram, &m); err != nil || m.GetName() == "" || m.GetName() == x.self {
+	err := proto.Unmarshal(datagram, &m)
+	if err == nil && m.GetEvidence() != nil {
+		x.handleEvidence(m.GetEvidence(), from)
+		return
+	}
+	if err != nil || m.GetName() == "" || m.GetName() == x.self {
 		x.metrics.Counter("loads.malformed").Inc(1)
 		return
 	}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -13,6 +15,7 @@
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/forward"
+	"github.com/endivetrack/endivetrack/internal/quarantine"
 )
 
 // loadRecorder is a LoadTable that provides fixed loads and sends those it
@@ -22,6 +25,13 @@
 	received chan map[string]forward.Load
 }
 
+// noEvidence is an EvidenceStore that knows nothing.
+type noEvidence struct{}
+
+func (noEvidence) Evidence() *api.FleetEvidence { return nil }
+func (noEvidence) Merge(*api.FleetEvidence)     {}
+func (noEvidence) Changed() <-chan struct{}     { return nil }
+
 func (r *loadRecorder) Loads() map[string]forward.Load { return r.own }
 
 func (r *loadRecorder) LoadsChanged() <-chan struct{} {
@@ -34,7 +44,7 @@
 
 func runExchange(t *testing.T, name string, own map[string]forward.Load, peers map[string]fleet.Watcher) (*loadRecorder, string) {
 	r := &loadRecorder{own: own, received: make(chan map[string]forward.Load, 100)}
-	x, err := Listen(name, "a", "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, r, tally.NoopScope)
+	x, err := Listen(name, "a", "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, r, noEvidence{}, tally.NoopScope)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -56,7 +66,7 @@
 	want := map[string]forward.Load{"i1": {Requests: 2, Tokens: 300, IncomingCopies: 1, PrefillTokens: 40, Suspect: true}}
 	peers := map[string]fleet.Watcher{"b": {Name: "b", InternalAddress: address}, "a": {Name: "a", InternalAddress: "127.0.0.1:1"}}
 	ctx, cancel := context.WithCancel(context.Background())
-	x, err := Listen("a", "a", "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, &loadRecorder{own: want}, tally.NoopScope)
+	x, err := Listen("a", "a", "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, &loadRecorder{own: want}, noEvidence{}, tally.NoopScope)
 	assert.NilError(t, err)
 	done := make(chan struct{})
 	go func() {
@@ -79,6 +89,8 @@
 	}
 }
 
+func noPeers() map[string]fleet.Watcher { return nil }
+
 // Guards against invalid datagrams that stop the exchange or are stored as loads.
 func TestInvalidDatagramsAreIgnored(t *testing.T) {
 	b, address := runExchange(t, "b", nil, nil)
@@ -104,9 +116,9 @@
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		r := &loadRecorder{received: make(chan map[string]forward.Load, 1)}
-		x := &Exchange{self: "b", loads: r, metrics: tally.NoopScope}
+		x := &Exchange{self: "b", loads: r, evidence: quarantine.New(zerolog.Nop(), tally.NoopScope, time.Now), entries: noPeers, metrics: tally.NoopScope}
 		lastReceived := map[string]time.Time{}
-		x.handleDatagram(datagram, lastReceived, time.Now())
+		x.handleDatagram(datagram, netip.AddrPort{}, lastReceived, time.Now())
 		_, own := lastReceived["b"]
 		assert.Assert(t, !own, "a datagram of this instance was stored")
 		assert.Equal(t, len(lastReceived), len(r.received))
--- /dev/null
+++ b/internal/quarantine/exchange.go
@@ -0,0 +1,173 @@
+package quarantine
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/endivetrack/endivetrack/api"
+)
+
+const (
+	// sentCrashAge is the age up to which crashes are sent to peers. Older ones have
+	// led to a quarantine or are too few.
+	sentCrashAge = 30 * time.Second
+	// maxParts bounds the parts of one received suspect or quarantine.
+	maxParts = 64
+)
+
+// Evidence returns what peers need to know; nil if there is nothing.
+func (s *Store) Evidence() *api.FleetEvidence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	m := &api.FleetEvidence{}
+	suspected := map[string]bool{}
+	for _, c := range s.crashes {
+		if now.Sub(c.at) > sentCrashAge {
+			continue
+		}
+		m.Crashes = append(m.Crashes, encodeCrash(c, now))
+		suspected[serviceKey(c.service)] = true
+		for _, x := range c.suspects {
+			for _, p := range x.Shared {
+				suspected[p] = true
+			}
+		}
+	}
+	for _, e := range s.quarantines {
+		if !now.Before(e.Until) {
+			continue
+		}
+		m.Quarantines = append(m.Quarantines, encodeEntry(e, now))
+		for _, p := range e.Parts {
+			suspected[p] = true
+		}
+	}
+	if len(m.Crashes) == 0 && len(m.Quarantines) == 0 {
+		return nil
+	}
+	for p := range suspected {
+		if at, ok := s.clean.Peek(p); ok {
+			m.Served = append(m.Served, &api.FleetServedPart{Part: p, AgeMs: millis(now.Sub(at))})
+		}
+	}
+	return m
+}
+
+func encodeCrash(c *crash, now time.Time) *api.FleetCrash {
+	m := &api.FleetCrash{Target: c.id.Target, Born: c.id.Incarnation, Service: c.service, AgeMs: millis(now.Sub(c.at))}
+	for _, x := range c.suspects {
+		m.Suspects = append(m.Suspects, &api.FleetSuspect{Shared: x.Shared, Own: x.Own, SentMs: millis(now.Sub(x.SentAt))})
+	}
+	return m
+}
+
+func encodeEntry(e *entry, now time.Time) *api.FleetQuarantine {
+	return &api.FleetQuarantine{
+		Parts: e.Parts, SinceMs: millis(now.Sub(e.Since)), LeftMs: millis(e.Until.Sub(now)), ChangedMs: millis(now.Sub(e.changedAt)),
+		Times: uint32(e.Times), Lifted: e.lifted,
+	}
+}
+
+// millis returns d in milliseconds; 0 if it is negative.
+func millis(d time.Duration) uint32 {
+	return uint32(min(max(0, d.Milliseconds()), math.MaxUint32))
+}
+
+// Merge adds what a peer knows.
+func (s *Store) Merge(m *api.FleetEvidence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for _, p := range m.GetServed() {
+		s.mergeServed(p, now)
+	}
+	for _, c := range m.GetCrashes() {
+		s.mergeCrash(c, now)
+	}
+	for _, q := range m.GetQuarantines() {
+		s.mergeEntry(q, now)
+	}
+	s.correct(now)
+	s.decide(now)
+}
+
+// before returns the time that lies ms milliseconds before now.
+func before(now time.Time, ms uint32) time.Time {
+	return now.Add(-time.Duration(ms) * time.Millisecond)
+}
+
+func (s *Store) mergeServed(m *api.FleetServedPart, now time.Time) {
+	at := before(now, m.GetAgeMs())
+	if known, ok := s.clean.Peek(m.GetPart()); !ok || at.After(known) {
+		s.clean.Add(m.GetPart(), at)
+	}
+}
+
+func (s *Store) mergeCrash(m *api.FleetCrash, now time.Time) {
+	id, at := CrashID{Target: m.GetTarget(), Incarnation: m.GetBorn()}, before(now, m.GetAgeMs())
+	c := s.crash(id)
+	if c == nil {
+		c = &crash{id: id, service: m.GetService(), at: at}
+		s.addCrash(c)
+	}
+	if at.Before(c.at) {
+		c.at = at
+	}
+	for _, x := range m.GetSuspects() {
+		if shared := x.GetShared(); len(shared) <= maxParts {
+			c.addSuspect(Suspect{Shared: shared, Own: x.GetOwn(), SentAt: before(now, x.GetSentMs())})
+		}
+	}
+}
+
+// mergeEntry adopts a peer's quarantine unless this instance knows a newer state of it.
+func (s *Store) mergeEntry(m *api.FleetQuarantine, now time.Time) {
+	parts := slices.Clone(m.GetParts())
+	slices.Sort(parts)
+	if len(parts) == 0 || len(parts) > maxParts || strings.Contains(key(parts), ":") {
+		return
+	}
+	changedAt := before(now, m.GetChangedMs())
+	known := s.quarantines[key(parts)]
+	if known != nil && !isNewer(m.GetLifted(), changedAt, known) {
+		return
+	}
+	if s.supersededByPart(parts, now) {
+		return
+	}
+	e := &entry{lifted: m.GetLifted(), changedAt: changedAt, Quarantine: Quarantine{
+		Parts: parts, Since: before(now, m.GetSinceMs()), Until: now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond), Times: int(m.GetTimes()),
+	}}
+	if e.active(now) {
+		s.removeSupersets(parts)
+		s.log.Warn().Strs("parts", parts).Int("times", e.Times).Msg("prompt parts quarantined by a peer")
+	}
+	s.put(e)
+	s.updateGauge(now)
+}
+
+// mergeTolerance is the difference below which two times of change are the same one, told
+// by datagrams that took different times.
+const mergeTolerance = 500 * time.Millisecond
+
+// isNewer reports whether a peer's state of an entry, lifted or not, is newer than the
+// known one. Of two states of the same time the lifted one is the newer.
+func isNewer(lifted bool, changedAt time.Time, known *entry) bool {
+	if lifted && !known.lifted {
+		return changedAt.After(known.changedAt.Add(-mergeTolerance))
+	}
+	return changedAt.After(known.changedAt.Add(mergeTolerance))
+}
+
+// supersededByPart reports whether a quarantine of fewer of the parts is in force.
+func (s *Store) supersededByPart(parts []string, now time.Time) bool {
+	for _, e := range s.quarantines {
+		if e.active(now) && len(e.Parts) < len(parts) && containsAll(parts, e.Parts) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/quarantine/handler.go
@@ -0,0 +1,42 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+)
+
+// Path at which an instance lists its quarantines. DELETE with the parts as a further
+// path element, separated by commas, lifts one at all instances.
+const path = "/quarantines"
+
+// Handler serves the operators' calls and passes all others to next.
+func (s *Store) Handler(next http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", next)
+	mux.HandleFunc("GET "+path, s.serveList)
+	mux.HandleFunc("DELETE "+path+"/{parts}", s.serveLift)
+	return mux
+}
+
+func (s *Store) serveList(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.List())
+}
+
+func (s *Store) serveLift(w http.ResponseWriter, r *http.Request) {
+	parts := strings.Split(strings.ToLower(r.PathValue("parts")), ",")
+	if !s.Lift(parts) {
+		err := resultcode.Newf(resultcode.UnknownQuarantine, "no quarantine of exactly these parts: %v", parts)
+		writeJSON(w, err.Code.HTTPStatus(), map[string]string{"error": err.Error()})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // fails only if the client has disconnected
+}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,216 @@
+// Package quarantine finds the parts of prompts that crash targets, and keeps
+// requests with such parts away from them.
+//
+// A request is a suspect of a crash if the target had not yet answered it, or had
+// just begun to. A part is clean once a request with it was served. A set of parts is
+// quarantined if it is in suspects of several crashes, one sent after the other, if
+// no part of it has been clean meanwhile, and if the same service served other
+// requests. All instances exchange their crashes and quarantines, so that each one
+// knows what any of them has seen.
+//
+// Invariant: a quarantine holds only while no request with all of its parts is
+// served. Crash case: an instance that restarts learns the quarantines from its peers.
+package quarantine
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+)
+
+// Bounds of what a Store keeps.
+const (
+	// crashRetention is how long a crash counts.
+	crashRetention = 10 * time.Minute
+	maxCrashes     = 128
+	// maxSuspects bounds the suspects of one crash; a target runs at most a few dozen requests.
+	maxSuspects = 64
+	// maxCleanParts bounds the parts whose last success is known. Those that were served
+	// least recently are forgotten first.
+	maxCleanParts  = 4096
+	maxQuarantines = 256
+	// decideInterval is the minimum time between two decisions without a further crash.
+	decideInterval = 100 * time.Millisecond
+)
+
+// CrashID identifies a crash: each incarnation of a target crashes at most once.
+type CrashID struct {
+	Target      string
+	Incarnation int64
+}
+
+// Suspect is a request that a target was beginning to answer when it crashed.
+type Suspect struct {
+	// Shared holds the parts of the prompt that other requests may have too.
+	Shared []string
+	// Own is the part that belongs to the request or to its session.
+	Own    string
+	SentAt time.Time
+}
+
+// NewSuspect returns the suspect for a request with the given parts, in their order.
+func NewSuspect(parts []string, sentAt time.Time) Suspect {
+	shared, own := splitParts(parts)
+	return Suspect{Shared: shared, Own: own, SentAt: sentAt}
+}
+
+// splitParts separates the shared parts of a prompt from the last one, which is the
+// request's own.
+func splitParts(parts []string) (shared []string, own string) {
+	if len(parts) == 0 {
+		return nil, ""
+	}
+	last := len(parts) - 1
+	return parts[:last], parts[last]
+}
+
+// crash is what is known of one crash.
+type crash struct {
+	id       CrashID
+	service  string
+	at       time.Time
+	suspects []Suspect
+}
+
+// Store holds the crashes, the clean parts and the quarantines that one instance
+// knows. It is safe for concurrent use.
+type Store struct {
+	log     zerolog.Logger
+	metrics tally.Scope
+	now     func() time.Time
+
+	mu          sync.Mutex
+	crashes     []*crash // in the order in which they became known
+	clean       *lru.LRU[string, time.Time]
+	quarantines map[string]*entry // by key
+	decidedAt   time.Time
+	changed     chan struct{}
+}
+
+// New returns an empty Store. now returns the current time.
+func New(log zerolog.Logger, metrics tally.Scope, now func() time.Time) *Store {
+	clean, err := lru.NewLRU[string, time.Time](maxCleanParts, nil)
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	return &Store{log: log, metrics: metrics, now: now, clean: clean, quarantines: map[string]*entry{}, changed: make(chan struct{}, 1)}
+}
+
+// RecordCrash adds a suspect to a crash of a target of the service. at is when the
+// connection to the target was lost.
+func (s *Store) RecordCrash(id CrashID, service string, at time.Time, suspect Suspect) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	c := s.crash(id)
+	if c == nil {
+		c = &crash{id: id, service: service, at: at}
+		s.addCrash(c)
+		s.metrics.Counter("quarantine.crashes").Inc(1)
+	}
+	if at.Before(c.at) {
+		c.at = at
+	}
+	c.addSuspect(suspect)
+	s.log.Warn().Str("target", id.Target).Str("service", service).Strs("parts", suspect.Shared).Str("own", suspect.Own).
+		Dur("sent_before", at.Sub(suspect.SentAt)).Msg("target crashed while it began to answer")
+	s.decide(now)
+	s.notifyChanged()
+}
+
+func (s *Store) crash(id CrashID) *crash {
+	for _, c := range s.crashes {
+		if c.id == id {
+			return c
+		}
+	}
+	return nil
+}
+
+func (s *Store) addCrash(c *crash) {
+	s.crashes = append(s.crashes, c)
+	if len(s.crashes) > maxCrashes {
+		s.crashes = slices.Delete(s.crashes, 0, 1)
+	}
+}
+
+func (c *crash) addSuspect(x Suspect) {
+	known := slices.ContainsFunc(c.suspects, func(y Suspect) bool {
+		return y.Own == x.Own && slices.Equal(y.Shared, x.Shared)
+	})
+	if !known && len(c.suspects) < maxSuspects {
+		c.suspects = append(c.suspects, x)
+	}
+}
+
+// RecordServed records that a target of the service served a request with the parts,
+// or serves it well beyond its beginning.
+func (s *Store) RecordServed(service string, parts []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.clean.Add(serviceKey(service), now)
+	shared, _ := splitParts(parts)
+	for _, p := range shared {
+		s.clean.Add(p, now)
+	}
+	s.correct(now)
+	if len(s.crashes) >= minCrashesToNarrow && now.Sub(s.decidedAt) >= decideInterval {
+		s.decide(now)
+	}
+}
+
+// serviceKey returns the key under which a service's last success is kept. IDs of
+// parts contain no colon.
+func serviceKey(service string) string { return "service:" + service }
+
+// cleanAfter reports whether a request with the part was served after t.
+func (s *Store) cleanAfter(part string, t time.Time) bool {
+	at, ok := s.clean.Peek(part)
+	return ok && at.After(t)
+}
+
+// Match returns the quarantine that a request with the parts falls under.
+func (s *Store) Match(parts []string) (Quarantine, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.quarantines) == 0 {
+		return Quarantine{}, false
+	}
+	now := s.now()
+	for _, e := range s.quarantines {
+		if e.active(now) && containsAll(parts, e.Parts) {
+			return e.Quarantine, true
+		}
+	}
+	return Quarantine{}, false
+}
+
+// Changed returns a channel that receives a value after this instance has seen or
+// decided something that its peers do not know.
+func (s *Store) Changed() <-chan struct{} { return s.changed }
+
+func (s *Store) notifyChanged() {
+	select {
+	case s.changed <- struct{}{}:
+	default: // a change is already announced
+	}
+}
+
+// containsAll reports whether parts contains each of wanted.
+func containsAll(parts, wanted []string) bool {
+	for _, w := range wanted {
+		if !slices.Contains(parts, w) {
+			return false
+		}
+	}
+	return true
+}
+
+// key returns the map key of a set of parts.
+func key(parts []string) string { return strings.Join(parts, ",") }
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -49,6 +49,7 @@
 	Draining           Code = 2008
 	RetryBudget        Code = 2009
 	ControlUnavailable Code = 2010
+	PromptQuarantined  Code = 2011
 )
 
 // Execution codes (3xxx): the request may have run.
@@ -71,6 +72,7 @@
 	ChangeIDReused     Code = 4005
 	UnknownTeam        Code = 4006
 	NotInForce         Code = 4007
+	UnknownQuarantine  Code = 4008
 )
 
 // Announcement codes (5xxx): a target's announcement was refused.
@@ -126,6 +128,7 @@
 	Draining:              {"DRAINING", http.StatusServiceUnavailable},
 	RetryBudget:           {"RETRY_BUDGET_SPENT", http.StatusServiceUnavailable},
 	ControlUnavailable:    {"CONTROL_UNAVAILABLE", http.StatusServiceUnavailable},
+	PromptQuarantined:     {"PROMPT_QUARANTINED", http.StatusServiceUnavailable},
 	TargetUnreachable:     {"TARGET_UNREACHABLE", http.StatusBadGateway},
 	GenerationLost:        {"GENERATION_LOST", http.StatusBadGateway},
 	OutcomeUnknown:        {"OUTCOME_UNKNOWN", http.StatusGatewayTimeout},
@@ -140,6 +143,7 @@
 	ChangeIDReused:        {"CHANGE_ID_REUSED", http.StatusConflict},
 	UnknownTeam:           {"UNKNOWN_TEAM", http.StatusNotFound},
 	NotInForce:            {"NOT_IN_FORCE", http.StatusGatewayTimeout},
+	UnknownQuarantine:     {"UNKNOWN_QUARANTINE", http.StatusNotFound},
 	AnnouncementMalformed: {"ANNOUNCEMENT_MALFORMED", http.StatusBadRequest},
 	AnnouncementForbidden: {"ANNOUNCEMENT_FORBIDDEN", http.StatusForbidden},
 	AnnouncementAddress:   {"ANNOUNCEMENT_ADDRESS", http.StatusBadRequest},
