forward: tests of responses that have neither a length nor chunks

Whole, ended inside an event, and reset, plain and as streams, also one that is continued at another target. All pass on the code as it was: no change needed.

--- /dev/null
+++ b/internal/forward/unframed_test.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/fleet"
+)
+
+// writeUnframedHead writes the head of a response with neither a length nor chunks, which
+// ends with its connection.
+func writeUnframedHead(c io.Writer, r seenRequest) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("T-Id"))
+}
+
+// unframed responds with text and then closes the connection, or resets it.
+func unframed(text string, reset bool) func(seenRequest, net.Conn) {
+	return func(r seenRequest, c net.Conn) {
+		writeUnframedHead(c, r)
+		_, _ = io.WriteString(c, text)
+		if reset {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func TestUnframedResponseThatEndsWithItsConnectionIsWhole(t *testing.T) {
+	f := newFixture(t, "core", newFakeTarget(t, "i1", unframed("body", false)))
+	resp, body, err := f.call(t, "POST", "/write/", "pay")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "body")
+}
+
+func TestUnframedResponseThatIsResetIsNotWhole(t *testing.T) {
+	f := newFixture(t, "core", newFakeTarget(t, "i1", unframed("bo", true)))
+	resp, _, err := f.call(t, "POST", "/write/", "pay")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+}
+
+func TestUnframedStreamThatEndsBetweenEventsIsWhole(t *testing.T) {
+	f := newFixture(t, "llm", newFakeTarget(t, "i1", unframed(events(1, 3), false)))
+	_, body, err := f.call(t, "POST", "/long/", "pay")
+	assert.NilError(t, err)
+	assert.Equal(t, body, events(1, 3))
+}
+
+// Guards against a stream that looks complete though its target broke it off.
+func TestUnframedStreamThatEndsInsideAnEventIsCut(t *testing.T) {
+	for name, x := range map[string]func(seenRequest, net.Conn){
+		"closed inside an event":      unframed(events(1, 2)+event(3)[:7], false),
+		"closed without a blank line": unframed(events(1, 2)+event(3)[:len(event(3))-1], false),
+		"reset between events":        unframed(events(1, 2), true),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, "llm", newFakeTarget(t, "i1", x))
+			_, body, err := f.call(t, "POST", "/long/", "pay")
+			assert.Assert(t, err != nil, "the caller took %q for complete", body)
+			assert.Assert(t, len(body) <= len(events(1, 2)), "a part of an event was passed on: %q", body)
+		})
+	}
+}
+
+// Guards against a resumable stream that is given up though it can be continued.
+func TestResumableUnframedStreamContinuesAfterACut(t *testing.T) {
+	x := newFakeTarget(t, "i1", unframed(events(1, 2)+event(3)[:7], false))
+	f := newFixture(t, "llm", x)
+	f.announce(t, newFakeTarget(t, "i2", streamsEvents(4, 0)), "llm", "r-b", fleet.Ready)
+	_, body, err := f.call(t, "POST", "/short/", "pay")
+	assert.NilError(t, err)
+	assert.Equal(t, body, events(1, 4))
+}
