forward: requests that wait at targets are withdrawn when their parts are quarantined

Cause: when a part is known, requests with it still wait at several targets and crash each when their turn comes. Change: attempts that no target has begun to answer are cancelled when a quarantine that covers them begins; the caller gets 502, since the request may have run.

--- a/internal/forward/deadly_test.go
+++ b/internal/forward/deadly_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/endivetrack/endivetrack/internal/fleet"
+	"github.com/endivetrack/endivetrack/internal/quarantine"
 )
 
 const (
@@ -199,3 +200,34 @@
 	assert.Assert(t, deadly <= deadlyLimit, "%d requests with the deadly part reached targets, %d crashes", deadly, crashes)
 	assert.Equal(t, served, sound, "sound requests are served once the part is known")
 }
+
+// Guards against targets that crash because a request waits there when its part is found.
+func TestWaitingRequestIsWithdrawnWhenItsPartIsQuarantined(t *testing.T) {
+	received, closed := make(chan struct{}), make(chan struct{})
+	x := newFakeTarget(t, "i1", func(_ seenRequest, c net.Conn) {
+		close(received)
+		_, _ = c.Read(make([]byte, 1)) // returns when the connection is closed
+		close(closed)
+	})
+	f := newFixture(t, "llm", x)
+	done := make(chan int, 1)
+	go func() {
+		resp, _, err := f.call(t, "POST", "/short/", "pay", "T-Parts", "5a:50,"+deadlyPart+":30,9:20")
+		if err != nil {
+			done <- 0
+			return
+		}
+		done <- resp.StatusCode
+	}()
+	<-received
+	for n := range 3 {
+		f.config.Quarantine.RecordServed("llm", []string{"5a", "1"})
+		suspect := quarantine.NewSuspect([]string{"5a", deadlyPart, fmt.Sprint(n)}, time.Now())
+		f.config.Quarantine.RecordCrash(quarantine.CrashID{Target: fmt.Sprint("x", n)}, "llm", time.Now(), suspect)
+	}
+	time.Sleep(200 * time.Millisecond)
+	f.config.Quarantine.RecordServed("llm", []string{"5a", "1"})
+	<-closed
+	assert.Equal(t, <-done, http.StatusBadGateway, "the request may have run")
+	assert.Equal(t, len(x.seen()), 1)
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -84,7 +84,8 @@
 	Engines Engines
 	Budget  BudgetConfig
 	Views   *fleet.ViewStore
-	// Quarantine holds the parts of prompts that crash targets.
+	// Quarantine holds the parts of prompts that crash targets. If it is nil, New creates
+	// one that no peers share.
 	Quarantine *quarantine.Store
 	Logger     zerolog.Logger
 	Metrics    tally.Scope
@@ -106,6 +107,7 @@
 	latencies *observer
 	budget    *budget
 	work      workMeter
+	pending   pendingAttempts
 
 	mu sync.Mutex
 	// stoppedAt is when the planned stop began; zero before it.
@@ -115,7 +117,12 @@
 
 // New returns a Forwarder. It has no targets until Run is called.
 func New(c Config) *Forwarder {
-	return &Forwarder{config: c, table: newTable(c.Self, c.Regions), budget: newBudget(c.Budget), latencies: newObserver(c.Metrics)}
+	if c.Quarantine == nil {
+		c.Quarantine = quarantine.New(c.Logger, c.Metrics, time.Now)
+	}
+	f := &Forwarder{config: c, table: newTable(c.Self, c.Regions), budget: newBudget(c.Budget), latencies: newObserver(c.Metrics)}
+	c.Quarantine.OnBegin(f.pending.withdraw)
+	return f
 }
 
 // Run updates the targets from this instance's view of the fleet (its copy of the
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -128,9 +128,11 @@
 		ctx, cancel = context.WithTimeout(ctx, min(attemptTimeoutFactor*q.route.Objective, q.timeLeft()/2))
 		defer cancel()
 	}
+	ctx, settled := f.pending.begin(ctx, q)
+	defer settled()
 	resp, err := f.sendRequest(ctx, l, q, nil)
 	if err != nil {
-		return &outcome{lease: l, err: err}
+		return &outcome{lease: l, err: withdrawnError(ctx, err)}
 	}
 	o := &outcome{lease: l, status: resp.StatusCode, header: resp.Header, refused: resp.statesNotRun(&f.config.Headers)}
 	o.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
@@ -141,6 +143,7 @@
 		o.err = errUnrelatedResponse
 	}
 	if o.err != nil {
+		o.err = withdrawnError(ctx, o.err)
 		resp.closeConn(l)
 		return o
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -107,9 +107,11 @@
 func (r *streamSession) serveLeg(ctx context.Context, l *lease, resume *resumePoint) (*outcome, *handoff) {
 	defer l.release()
 	r.logPlaced(l, resume)
-	resp, err := r.f.sendRequest(ctx, l, r.q, resume)
+	attempt, settled := r.f.pending.begin(ctx, r.q)
+	defer settled()
+	resp, err := r.f.sendRequest(attempt, l, r.q, resume)
 	if err != nil {
-		return &outcome{lease: l, err: err}, nil
+		return &outcome{lease: l, err: withdrawnError(attempt, err)}, nil
 	}
 	defer resp.closeConn(l)
 	if resp.StatusCode != http.StatusOK {
@@ -124,7 +126,7 @@
 		r.responseHeader = resp.Header
 	}
 	m := r.f.startMover(ctx, r, l)
-	err = r.relayEvents(l, resp.Body)
+	err = withdrawnError(attempt, r.relayEvents(l, resp.Body, settled))
 	if errors.Is(err, errCallerGone) || (err == nil && !m.stopRequested()) {
 		m.abandonMove()
 	} else if next := m.awaitHandoff(ctx); next != nil {
@@ -155,8 +157,9 @@
 }
 
 // relayEvents sends complete events to the caller, each once and in order, until
-// the stream ends. A nil error means that the target ended the stream.
-func (r *streamSession) relayEvents(l *lease, body io.Reader) error {
+// the stream ends. A nil error means that the target ended the stream. It calls
+// answerBegan with the first event.
+func (r *streamSession) relayEvents(l *lease, body io.Reader, answerBegan func()) error {
 	r.legEvents = 0
 	events := newEventReader(body)
 	flush := http.NewResponseController(r.out)
@@ -185,6 +188,7 @@
 		r.legEvents++
 		if r.legEvents == 1 {
 			r.legFirstEventAt = now
+			answerBegan()
 			l.endPrefill()
 		} else if r.legStarted(now) {
 			r.recordServed()
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -42,7 +42,7 @@
 
 // explains reports whether one of the crash's suspects has all parts of the entry.
 func (e *entry) explains(c *crash) bool {
-	return slices.ContainsFunc(c.suspects, func(x Suspect) bool { return containsAll(x.Shared, e.Parts) })
+	return slices.ContainsFunc(c.suspects, func(x Suspect) bool { return ContainsAll(x.Shared, e.Parts) })
 }
 
 func (s *Store) explained(c *crash) bool {
@@ -80,7 +80,7 @@
 // removeSupersets removes the entries that contain all of the parts.
 func (s *Store) removeSupersets(parts []string) {
 	for k, e := range s.quarantines {
-		if containsAll(e.Parts, parts) {
+		if ContainsAll(e.Parts, parts) {
 			delete(s.quarantines, k)
 		}
 	}
@@ -94,6 +94,9 @@
 // put stores an entry. If there are too many, the one that ends first is removed.
 func (s *Store) put(e *entry) {
 	s.quarantines[key(e.Parts)] = e
+	if s.onBegin != nil && e.active(s.now()) {
+		go s.onBegin(e.Parts)
+	}
 	if len(s.quarantines) <= maxQuarantines {
 		return
 	}
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -165,7 +165,7 @@
 // supersededByPart reports whether a quarantine of fewer of the parts is in force.
 func (s *Store) supersededByPart(parts []string, now time.Time) bool {
 	for _, e := range s.quarantines {
-		if e.active(now) && len(e.Parts) < len(parts) && containsAll(parts, e.Parts) {
+		if e.active(now) && len(e.Parts) < len(parts) && ContainsAll(parts, e.Parts) {
 			return true
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -89,6 +89,7 @@
 	clean       *lru.LRU[string, time.Time]
 	quarantines map[string]*entry // by key
 	decidedAt   time.Time
+	onBegin     func(parts []string)
 	changed     chan struct{}
 }
 
@@ -101,6 +102,11 @@
 	return &Store{log: log, metrics: metrics, now: now, clean: clean, quarantines: map[string]*entry{}, changed: make(chan struct{}, 1)}
 }
 
+// OnBegin sets a function that is called, in a goroutine of its own, with the parts of
+// each quarantine that begins here or is learned from a peer. It must be set before the
+// Store is used.
+func (s *Store) OnBegin(call func(parts []string)) { s.onBegin = call }
+
 // RecordCrash adds a suspect to a crash of a target of the service. at is when the
 // connection to the target was lost.
 func (s *Store) RecordCrash(id CrashID, service string, at time.Time, suspect Suspect) {
@@ -184,7 +190,7 @@
 	}
 	now := s.now()
 	for _, e := range s.quarantines {
-		if e.active(now) && containsAll(parts, e.Parts) {
+		if e.active(now) && ContainsAll(parts, e.Parts) {
 			return e.Quarantine, true
 		}
 	}
@@ -202,8 +208,8 @@
 	}
 }
 
-// containsAll reports whether parts contains each of wanted.
-func containsAll(parts, wanted []string) bool {
+// ContainsAll reports whether parts contains each of wanted.
+func ContainsAll(parts, wanted []string) bool {
 	for _, w := range wanted {
 		if !slices.Contains(parts, w) {
 			return false
