forward: the limit that a target names is kept and logged when it begins and ends

Cause of the lack: no line and no metric told that a target had named a limit, so the hypotheses of the incident could not be told apart. Nothing is decided by it yet.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -152,7 +152,7 @@
 	}()
 	client := api.NewFleetQueryProtobufClient("http://"+address, f.peerClient)
 	position := position{control: address}
-	defer f.views.setEntries(address, nil)
+	defer f.views.SetEntries(address, nil)
 	defer f.markUnreachable(address)
 	delay := pollRetryDelay
 	reachable := false
@@ -244,7 +244,7 @@
 		for _, w := range resp.GetEntries() {
 			entries = append(entries, watcherFromProto(w))
 		}
-		f.views.setEntries(p.control, entries)
+		f.views.SetEntries(p.control, entries)
 		p.entriesVersion = resp.GetEntriesVersion()
 	}
 	f.noteListed(resp.GetControl(), time.Now())
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -155,9 +155,9 @@
 	s.changed = make(chan struct{})
 }
 
-// setEntries replaces the list of entry instances from one control instance. A
+// SetEntries replaces the list of entry instances from one control instance. A
 // nil list removes it.
-func (s *ViewStore) setEntries(control string, list []Watcher) {
+func (s *ViewStore) SetEntries(control string, list []Watcher) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if list == nil {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -95,6 +95,7 @@
 		l.dropConn(conn)
 		return nil, fmt.Errorf("read answer: %w", err)
 	}
+	f.recordLimit(l.endpoint, resp)
 	return &targetResponse{Response: resp, conn: conn, detachContext: stop}, nil
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -56,6 +56,7 @@
 	Account      string // name of the client account, sent to targets
 	ExpectTarget string // ID of the target that the request is addressed to
 	NotRun       string // a target's statement that the request did not run
+	Limit        string // requests per second that a target accepts from all instances together
 	Stamp        string // a target's signature of a response
 	Priority     string // priority of the request at an engine
 	Tokens       string // prompt tokens and maximum output tokens, see parseTokens
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -56,6 +56,9 @@
 	failures       int
 	suspectUntil   time.Time // time until which the target is avoided because of failures
 	coldBucket     tokenBucket
+	// limit is the number of requests per second that the target accepts from all
+	// instances together, as its newest response states; 0 if it states none.
+	limit float64
 	// otherLoads holds the load that each other instance places on the target, by instance name.
 	otherLoads map[string]Load
 	// moveSlot is a semaphore of one: a run holds it while it is moved off the target.
