forward: instances divide the limit that a target names

What callers and targets saw: two of three targets named 3.3 and 3.4 requests a second and got 54 and 29 in 4 s, their usual share. Class: a statement of the target that no decision uses. Change: each instance has an even share of the limit, as of the rate of cold targets; what is beyond goes to other targets, and if all are at their limits it is refused at once with 2003 and the time until the next request as Retry-After. A token that many instances save up would let all of them send at once, so it is lost when its share of a burst of 4 has passed. The newest response decides: a lower limit, none, or a new incarnation. In virtual time 1 to 300 instances at 0.5 to 200 a second keep the bound and use nine tenths of the limit while requests wait.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -240,6 +240,8 @@
 	pauseDraining   = 100 * time.Millisecond // short, because other instances still accept requests
 	pauseNoManifest = 500 * time.Millisecond
 	pauseOverloaded = 700 * time.Millisecond
+	// minLimitPause is the shortest pause after a refusal because of targets' limits.
+	minLimitPause = 50 * time.Millisecond
 )
 
 func retryAfter(c resultcode.Code) time.Duration {
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -27,7 +27,16 @@
 			WithRetryAfter(time.Until(found.Until))
 		return nil
 	}
-	return f.table.acquireLease(f.table.demandFor(q, a.exclude), time.Now())
+	d, now := f.table.demandFor(q, a.exclude), time.Now()
+	if l := f.table.acquireLease(d, now); l != nil {
+		return l
+	}
+	if wait, limited := f.table.untilAdmission(d, now); limited {
+		f.config.Metrics.Counter("forward.limit_refused").Inc(1)
+		a.lastErr = resultcode.Newf(resultcode.Overloaded, "the targets of %q accept no more requests now, by the limits that they name", q.service.Name).
+			WithRetryAfter(max(minLimitPause, wait))
+	}
+	return nil
 }
 
 // errWithdrawn means that the request was withdrawn from its target before an answer
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -353,7 +353,11 @@
 	if q.id != "" {
 		h.Set(f.config.Headers.RequestID, q.id)
 	}
-	if pause := max(e.RetryAfter, retryAfter(e.Code)); pause > 0 {
+	pause := e.RetryAfter
+	if pause == 0 {
+		pause = retryAfter(e.Code)
+	}
+	if pause > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 2, 64))
 	}
 	w.WriteHeader(httpStatus(e))
--- a/internal/forward/lease.go
+++ b/internal/forward/lease.go
@@ -1,6 +1,9 @@
 package forward
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // lease is the capacity that a request has reserved at an endpoint.
 type lease struct {
@@ -60,13 +63,34 @@
 }
 
 // takeToken refills the bucket at the given rate, in tokens per second, and
-// reports whether it could take a token.
-func (c *tokenBucket) takeToken(rate float64, now time.Time) bool {
-	c.tokens = min(c.tokens+rate*now.Sub(c.refilledAt).Seconds(), max(1, rate/4))
-	c.refilledAt = now
+// reports whether it could take a token. burst is how many tokens the bucket holds at
+// most. If it is less than 1, a token is lost unless it is taken within the time in
+// which burst tokens arrive: many instances that each save up a token would otherwise
+// send them all at once.
+func (c *tokenBucket) takeToken(rate, burst float64, now time.Time) bool {
+	c.refill(rate, burst, now)
 	if c.tokens < 1 {
 		return false
 	}
 	c.tokens--
 	return true
 }
+
+func (c *tokenBucket) refill(rate, burst float64, now time.Time) {
+	c.tokens += rate * now.Sub(c.refilledAt).Seconds()
+	c.refilledAt = now
+	switch {
+	case burst >= 1:
+		c.tokens = min(c.tokens, burst)
+	case c.tokens >= 1+burst:
+		_, c.tokens = math.Modf(c.tokens)
+		if c.tokens < burst {
+			c.tokens++
+		}
+	}
+}
+
+// untilToken returns the time until takeToken succeeds, as of the last refill.
+func (c *tokenBucket) untilToken(rate float64) time.Duration {
+	return time.Duration(max(0, 1-c.tokens) / rate * float64(time.Second))
+}
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
+
+	"github.com/endivetrack/endivetrack/internal/manifest"
 )
 
 // minLimit is the lowest rate at which requests are sent to a target that names a limit,
@@ -44,6 +47,73 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := (e.limit == 0) != (rate == 0)
+	if changed {
+		e.limitBucket = tokenBucket{}
+	}
 	e.limit = rate
 	return changed
 }
+
+// limitBurst is how many requests beyond the even flow all instances together may send at
+// once to a target that names a limit.
+const limitBurst = 4
+
+// limitShare returns this instance's share of the rate that a target names and of the
+// burst. The instances divide them evenly. Like the shares of the cold rate, they need no
+// exchange, so that they hold while instances cannot reach each other. The caller holds
+// t.mu.
+func (t *table) limitShare(e *endpoint) (rate, burst float64) {
+	instances := float64(t.view.EntryCount())
+	return e.limit / instances, limitBurst / instances
+}
+
+// refillLimit refills the bucket of a target that names a limit. The caller holds t.mu.
+func (t *table) refillLimit(e *endpoint, now time.Time) {
+	rate, burst := t.limitShare(e)
+	if e.limitBucket.refilledAt.IsZero() {
+		e.limitBucket = newTokenBucket(t.view.EntryCount(), limitBurst, t.position(e.id), now)
+	}
+	e.limitBucket.refill(rate, burst, now)
+}
+
+// admit reports whether a request may be sent to e now, by the limit that the target names
+// and by the rate of cold targets, and counts it if so. The caller holds t.mu.
+func (t *table) admit(e *endpoint, s *manifest.Service, now time.Time) bool {
+	if e.limit == 0 {
+		return t.admitToColdTarget(e, s, now)
+	}
+	t.refillLimit(e, now)
+	if e.limitBucket.tokens < 1 || !t.admitToColdTarget(e, s, now) {
+		return false
+	}
+	e.limitBucket.tokens--
+	return true
+}
+
+// chargeLimit counts a request that is sent whatever the limit. The caller holds t.mu.
+func (t *table) chargeLimit(e *endpoint, now time.Time) {
+	if e.limit > 0 {
+		t.refillLimit(e, now)
+		e.limitBucket.tokens--
+	}
+}
+
+// untilAdmission returns the time until one of the targets that could serve the demand
+// accepts a further request of this instance by its limit; false if none of them names a
+// limit.
+func (t *table) untilAdmission(d *demand, now time.Time) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	shortest, found := time.Duration(0), false
+	for _, e := range t.candidates(d) {
+		if e.limit == 0 {
+			continue
+		}
+		t.refillLimit(e, now)
+		rate, _ := t.limitShare(e)
+		if wait := e.limitBucket.untilToken(rate); !found || wait < shortest {
+			shortest, found = wait, true
+		}
+	}
+	return shortest, found
+}
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -149,3 +150,131 @@
 	assert.Assert(t, float64(most) <= factor*limit*window+limitSlack, "%d requests in %s at a target with a limit of %v/s", most, limitWindow, limit)
 	assert.Equal(t, served, sent, "the other target serves what is beyond the limit")
 }
+
+// limitPlay places requests of many instances on one target that names a limit, without a
+// network.
+type limitPlay struct {
+	tables []*table
+	now    time.Time
+	sent   []time.Time
+}
+
+func newLimitPlay(instances int, limit float64) *limitPlay {
+	v := viewOf(target("a1", "r-a", 0))
+	p := &limitPlay{now: testNow}
+	for i := range instances {
+		v.Entries[fmt.Sprint(i)] = fleet.Watcher{}
+	}
+	for i := range instances {
+		tb := testTable(v)
+		tb.self.Name = fmt.Sprint(i)
+		tb.setLimit(tb.endpoints["a1"], limit)
+		p.tables = append(p.tables, tb)
+	}
+	return p
+}
+
+// run lets each instance try a request at each interval.
+func (p *limitPlay) run(interval, length time.Duration) {
+	for end := p.now.Add(length); p.now.Before(end); p.now = p.now.Add(interval) {
+		for _, tb := range p.tables {
+			if l := tb.acquireLease(tb.demandFor(engineRequest(1), nil), p.now); l != nil {
+				p.sent = append(p.sent, p.now)
+				l.endPrefill()
+				l.release()
+			}
+		}
+	}
+}
+
+func (p *limitPlay) mostInWindow() int {
+	most := 0
+	for i, from := range p.sent {
+		n := 0
+		for _, at := range p.sent[i:] {
+			if at.Sub(from) < limitWindow {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func TestNamedLimitHoldsForManyInstancesAndIsUsed(t *testing.T) {
+	const length = 40 * time.Second
+	for _, instances := range []int{1, 2, 6, 24, 100, 300} {
+		for _, limit := range []float64{0.5, 3.3, 20, 200} {
+			t.Run(fmt.Sprintf("%d instances %v per second", instances, limit), func(t *testing.T) {
+				p := newLimitPlay(instances, limit)
+				p.run(20*time.Millisecond, length)
+				allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack
+				assert.Assert(t, float64(p.mostInWindow()) <= allowed, "%d in %s, %v allowed", p.mostInWindow(), limitWindow, allowed)
+				if wanted := min(limit, 50*float64(instances)) * length.Seconds(); wanted >= float64(instances) {
+					assert.Assert(t, float64(len(p.sent)) >= 0.9*wanted, "%d of %v used while requests wait", len(p.sent), wanted)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a limit that is exceeded because idle instances save up requests.
+func TestNamedLimitHoldsAfterIdleTime(t *testing.T) {
+	for _, instances := range []int{6, 24, 300} {
+		p := newLimitPlay(instances, 3.3)
+		p.run(20*time.Millisecond, 5*time.Second)
+		p.now = p.now.Add(time.Minute)
+		p.run(20*time.Millisecond, 5*time.Second)
+		allowed := limitFactor*3.3*limitWindow.Seconds() + limitSlack
+		assert.Assert(t, float64(p.mostInWindow()) <= allowed, "%d instances: %d, %v allowed", instances, p.mostInWindow(), allowed)
+	}
+}
+
+func TestNamedLimitFollowsTheTarget(t *testing.T) {
+	t.Parallel()
+	x := newLimitedTarget(t, "i1", "0.5")
+	f := newFixture(t, "core", x.fakeTarget)
+	play := func(length time.Duration) (sent, served int) {
+		return playRequests(t, []*fixture{f}, 20*time.Millisecond, length)
+	}
+	sent, served := play(time.Second)
+	assert.Assert(t, served < sent/2, "%d of %d served beyond the limit", served, sent)
+	resp, _, err := f.call(t, "POST", "/write/", "pay")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	pause, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, pause > 0 && pause <= 2, "Retry-After: %v", pause)
+	x.setLimit("many")
+	time.Sleep(2 * time.Second)
+	_, served = play(time.Second)
+	assert.Assert(t, served <= 2, "a limit that is no number leaves the last one in force: %d served", served)
+	x.setLimit("")
+	time.Sleep(2 * time.Second)
+	_, _ = play(100 * time.Millisecond)
+	sent, served = play(time.Second)
+	assert.Equal(t, served, sent, "the target names no limit any more")
+	x.setLimit("0.5")
+	_, _ = play(time.Second)
+	f.seq++
+	f.views.Merge(nil, []fleet.Announcement{{
+		ID: x.id, Service: "core", Address: x.address, FailureDomain: "r-a", Incarnation: 2, Sequence: f.seq, Slots: 4, State: fleet.Ready,
+	}})
+	f.syncTargets()
+	x.setLimit("")
+	sent, served = play(300 * time.Millisecond)
+	assert.Equal(t, served, sent, "a restarted target has no limit")
+}
+
+func TestLimitsAreParsed(t *testing.T) {
+	for text, want := range map[string]float64{"3.25": 3.25, " 7 ": 7, "0": minLimit, "1e2": 100} {
+		got, ok := parseLimit([]string{text})
+		assert.Assert(t, ok && got == want, "%q: %v", text, got)
+	}
+	for _, text := range []string{"", "-1", "NaN", "Inf", "many", "3,5"} {
+		_, ok := parseLimit([]string{text})
+		assert.Assert(t, !ok, "%q", text)
+	}
+	_, ok := parseLimit(nil)
+	assert.Assert(t, ok)
+}
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -58,7 +58,8 @@
 	coldBucket     tokenBucket
 	// limit is the number of requests per second that the target accepts from all
 	// instances together, as its newest response states; 0 if it states none.
-	limit float64
+	limit       float64
+	limitBucket tokenBucket
 	// otherLoads holds the load that each other instance places on the target, by instance name.
 	otherLoads map[string]Load
 	// moveSlot is a semaphore of one: a run holds it while it is moved off the target.
@@ -168,7 +169,7 @@
 			considered = sampleCandidates(candidates, d, rand.Shuffle)
 		}
 		e := pickCheapest(considered, d, now, rand.Float64)
-		if t.admitToColdTarget(e, d.q.service, now) {
+		if t.admit(e, d.q.service, now) {
 			return t.reserveCapacityLocked(e, d.q)
 		}
 		candidates = slices.DeleteFunc(candidates, func(x *endpoint) bool { return x == e })
@@ -187,10 +188,12 @@
 	return &lease{table: t, endpoint: e, tokens: tokens, prefillTokens: q.tokens.prompt, reservedAt: time.Now()}
 }
 
-// reserveCapacity is reserveCapacityLocked for callers that do not hold t.mu.
+// reserveCapacity is reserveCapacityLocked for callers that do not hold t.mu and whose
+// request can only be served by this endpoint.
 func (t *table) reserveCapacity(e *endpoint, q *request) *lease {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.chargeLimit(e, time.Now())
 	return t.reserveCapacityLocked(e, q)
 }
 
@@ -239,16 +242,17 @@
 		return true
 	}
 	instances := t.view.EntryCount()
+	rate := coldShare * s.ColdPerSecond / float64(instances)
 	if e.coldBucket.refilledAt.IsZero() {
-		e.coldBucket = newTokenBucket(instances, coldBurst(s.ColdPerSecond), t.coldPosition(e.id), now)
+		e.coldBucket = newTokenBucket(instances, coldBurst(s.ColdPerSecond), t.position(e.id), now)
 	}
-	return e.coldBucket.takeToken(coldShare*s.ColdPerSecond/float64(instances), now)
+	return e.coldBucket.takeToken(rate, max(1, rate/4), now)
 }
 
-// coldPosition returns the position in [0, 1) of this instance among those that share
-// a cold target. The positions of all instances are spread evenly, in another order for
+// position returns the position in [0, 1) of this instance among those that share
+// the rate of a target. The positions of all instances are spread evenly, in another order for
 // each target. An instance that is not listed takes a random one.
-func (t *table) coldPosition(target string) float64 {
+func (t *table) position(target string) float64 {
 	if _, listed := t.view.Entries[t.self.Name]; !listed {
 		return rand.Float64()
 	}
