forward: a named limit is used when many instances with few requests share it

Cause: an instance's token was lost unless a request came while its share of a burst of 4 passed, 20 ms at 200 a second; of 100 instances with 10 requests a second each, together 1,836 of 8,000 requests were sent in 40 s, though requests waited. Change: the burst is 3 requests and what the limit allows in a second.

--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -54,9 +54,17 @@
 	return changed
 }
 
-// limitBurst is how many requests beyond the even flow all instances together may send at
-// once to a target that names a limit.
-const limitBurst = 4
+// Requests beyond the even flow that all instances together may send at once to a target
+// that names a limit: what the limit allows in limitBurstTime, and limitBurstRequests.
+const (
+	limitBurstTime     = time.Second
+	limitBurstRequests = 3
+)
+
+// limitBurst returns the burst of all instances together.
+func (e *endpoint) limitBurst() float64 {
+	return limitBurstRequests + e.limit*limitBurstTime.Seconds()
+}
 
 // limitShare returns this instance's share of the rate that a target names and of the
 // burst. The instances divide them evenly. Like the shares of the cold rate, they need no
@@ -64,14 +72,14 @@
 // t.mu.
 func (t *table) limitShare(e *endpoint) (rate, burst float64) {
 	instances := float64(t.view.EntryCount())
-	return e.limit / instances, limitBurst / instances
+	return e.limit / instances, e.limitBurst() / instances
 }
 
 // refillLimit refills the bucket of a target that names a limit. The caller holds t.mu.
 func (t *table) refillLimit(e *endpoint, now time.Time) {
 	rate, burst := t.limitShare(e)
 	if e.limitBucket.refilledAt.IsZero() {
-		e.limitBucket = newTokenBucket(t.view.EntryCount(), limitBurst, t.position(e.id), now)
+		e.limitBucket = newTokenBucket(t.view.EntryCount(), limitBurstRequests, t.position(e.id), now)
 	}
 	e.limitBucket.refill(rate, burst, now)
 }
