forward, loads: instances tell each other the limits that targets name

Cause: only an instance's own responses told it of a limit. A target with a low limit answers each of many instances rarely (300 instances at 3 a second: each once in 100 s), so they exceed a limit that they have not been told, and keep to one that has ended. Change: the datagrams of loads carry what each instance has seen last, while a limit is or was in force; the newest of all decides. What was seen of an earlier incarnation does not count.

--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -36,24 +36,63 @@
 		f.config.Metrics.Counter("forward.limit_malformed").Inc(1)
 		return
 	}
-	if f.table.setLimit(e, rate) {
+	if f.table.setLimit(e, rate, time.Now()) {
 		f.config.Logger.Info().Str("target", e.id).Str("service", e.service).Float64("limit", rate).Msg("target limit")
 	}
 }
 
-// setLimit sets the limit of an endpoint and reports whether the endpoint begins or ceases
-// to have one.
-func (t *table) setLimit(e *endpoint, rate float64) bool {
+// NamedLimit is the limit that a response named.
+type NamedLimit struct {
+	// Rate is in requests per second of all instances together; 0 means no limit.
+	Rate float64
+	At   time.Time
+}
+
+// setLimit stores what a response to this instance names, and reports whether the endpoint
+// begins or ceases to have a limit.
+func (t *table) setLimit(e *endpoint, rate float64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := (e.limit == 0) != (rate == 0)
+	if e.seenLimit.Rate != rate {
+		t.noteLoadChange()
+	}
+	e.seenLimit = NamedLimit{Rate: rate, At: now}
+	return t.refreshLimit(e)
+}
+
+// refreshLimit puts the newest limit that any instance has seen in force, and reports
+// whether the endpoint begins or ceases to have one. What an instance saw of an earlier
+// incarnation does not count. The caller holds t.mu.
+func (t *table) refreshLimit(e *endpoint) bool {
+	newest := e.seenLimit
+	for _, l := range e.otherLoads {
+		if l.Limit.At.After(newest.At) && l.Limit.At.After(e.createdAt) {
+			newest = l.Limit
+		}
+	}
+	changed := (e.limit == 0) != (newest.Rate == 0)
 	if changed {
 		e.limitBucket = tokenBucket{}
 	}
-	e.limit = rate
+	e.limit = newest.Rate
 	return changed
 }
 
+// limitNews returns what this instance saw, if it or another instance saw a limit. A
+// target with a low limit answers each of many instances rarely, so that they learn from
+// each other that the limit has changed or ended. The caller holds table.mu.
+func (e *endpoint) limitNews() NamedLimit {
+	if e.seenLimit.Rate > 0 {
+		return e.seenLimit
+	}
+	for _, l := range e.otherLoads {
+		if l.Limit.Rate > 0 {
+			return e.seenLimit
+		}
+	}
+	return NamedLimit{}
+}
+
 // Requests beyond the even flow that all instances together may send at once to a target
 // that names a limit: what the limit allows in limitBurstTime, and limitBurstRequests.
 const (
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -11,6 +11,9 @@
 	PrefillTokens  int // prompt tokens of requests that have no first event yet
 	// Suspect is set while the instance avoids the target after failures.
 	Suspect bool
+	// Limit is the limit that the target's newest response to the instance named. Its time
+	// is zero if that need not be known.
+	Limit NamedLimit
 }
 
 // totalLoad returns the load that all instances together place on the endpoint.
@@ -36,7 +39,7 @@
 	out := map[string]Load{}
 	now := time.Now()
 	for id, e := range t.endpoints {
-		l := Load{Requests: e.requests, Tokens: e.tokens, IncomingCopies: e.incomingCopies, PrefillTokens: e.prefillTokens, Suspect: now.Before(e.suspectUntil)}
+		l := Load{Requests: e.requests, Tokens: e.tokens, IncomingCopies: e.incomingCopies, PrefillTokens: e.prefillTokens, Suspect: now.Before(e.suspectUntil), Limit: e.limitNews()}
 		if l != (Load{}) {
 			out[id] = l
 		}
@@ -53,11 +56,15 @@
 	for id := range t.loadedBy[instance] {
 		if e := t.endpoints[id]; e != nil {
 			delete(e.otherLoads, instance)
+			if _, again := loads[id]; !again {
+				t.refreshLimit(e)
+			}
 		}
 	}
 	for id, l := range loads {
 		if e := t.endpoints[id]; e != nil {
 			e.otherLoads[instance] = l
+			t.refreshLimit(e)
 		}
 	}
 	if len(loads) == 0 {
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -57,9 +57,12 @@
 	suspectUntil   time.Time // time until which the target is avoided because of failures
 	coldBucket     tokenBucket
 	// limit is the number of requests per second that the target accepts from all
-	// instances together, as its newest response states; 0 if it states none.
+	// instances together, as its newest response to any of them states; 0 if it states none.
 	limit       float64
 	limitBucket tokenBucket
+	// seenLimit is what the newest response to this instance states.
+	seenLimit NamedLimit
+	createdAt time.Time
 	// otherLoads holds the load that each other instance places on the target, by instance name.
 	otherLoads map[string]Load
 	// moveSlot is a semaphore of one: a run holds it while it is moved off the target.
@@ -104,7 +107,7 @@
 			e = &endpoint{
 				id: id, incarnation: target.Incarnation, address: target.Address, failureDomain: target.FailureDomain,
 				region: t.regions[target.FailureDomain], service: target.Service, drainStarted: make(chan struct{}),
-				otherLoads: map[string]Load{}, moveSlot: make(chan struct{}, 1),
+				otherLoads: map[string]Load{}, moveSlot: make(chan struct{}, 1), createdAt: now,
 			}
 			t.endpoints[id] = e
 			t.changedEndpoints = append(t.changedEndpoints, e)
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -182,10 +183,9 @@
 
 func (x *Exchange) sendLoads(peers []string, loads map[string]forward.Load) {
 	m := &api.FleetLoad{Name: x.self}
+	now := time.Now()
 	for id, l := range loads {
-		m.Targets = append(m.Targets, &api.FleetTargetLoad{
-			Id: id, Requests: uint32(l.Requests), Tokens: uint32(l.Tokens), Incoming: uint32(l.IncomingCopies), Starting: uint32(l.PrefillTokens), Suspect: l.Suspect,
-		})
+		m.Targets = append(m.Targets, encodeLoad(id, l, now))
 	}
 	data, err := proto.Marshal(m)
 	if err != nil || len(data) > maxDatagram {
@@ -266,10 +266,28 @@
 	}
 	loads := make(map[string]forward.Load, len(m.GetTargets()))
 	for _, t := range m.GetTargets() {
-		loads[t.GetId()] = forward.Load{
-			Requests: int(t.GetRequests()), Tokens: int(t.GetTokens()), IncomingCopies: int(t.GetIncoming()), PrefillTokens: int(t.GetStarting()), Suspect: t.GetSuspect(),
-		}
+		loads[t.GetId()] = decodeLoad(t, now)
 	}
 	lastReceived[m.GetName()] = now
 	x.loads.SetLoads(m.GetName(), loads)
 }
+
+func encodeLoad(id string, l forward.Load, now time.Time) *api.FleetTargetLoad {
+	m := &api.FleetTargetLoad{
+		Id: id, Requests: uint32(l.Requests), Tokens: uint32(l.Tokens), Incoming: uint32(l.IncomingCopies), Starting: uint32(l.PrefillTokens), Suspect: l.Suspect,
+	}
+	if !l.Limit.At.IsZero() {
+		m.Limit, m.LimitAgeMs = l.Limit.Rate, proto.Uint32(uint32(min(max(0, now.Sub(l.Limit.At).Milliseconds()), math.MaxUint32)))
+	}
+	return m
+}
+
+func decodeLoad(m *api.FleetTargetLoad, now time.Time) forward.Load {
+	l := forward.Load{
+		Requests: int(m.GetRequests()), Tokens: int(m.GetTokens()), IncomingCopies: int(m.GetIncoming()), PrefillTokens: int(m.GetStarting()), Suspect: m.GetSuspect(),
+	}
+	if rate := m.GetLimit(); m.LimitAgeMs != nil && rate >= 0 && !math.IsInf(rate, 0) {
+		l.Limit = forward.NamedLimit{Rate: rate, At: now.Add(-time.Duration(m.GetLimitAgeMs()) * time.Millisecond)}
+	}
+	return l
+}
