loads: instances that are not listed ask for evidence without load

Cause: an unlisted instance asked only once it had requests, so its first request with a deadly part was sent on; with hundreds of instances each may send one. Change: it asks a random peer every 2 s. TestQuarantineReachesEachInstance now runs the whole exchange for it.

--- a/internal/loads/evidence.go
+++ b/internal/loads/evidence.go
@@ -17,6 +17,8 @@
 	// for lost ones and inform instances that have restarted.
 	evidenceInterval = time.Second
 	evidenceFanout   = 2
+	// askInterval is the time between two questions of an instance that is not listed.
+	askInterval = 2 * time.Second
 	// minEvidenceGap is the minimum time between two datagrams to all peers.
 	minEvidenceGap = 20 * time.Millisecond
 )
@@ -31,14 +33,20 @@
 }
 
 // shareEvidence tells all peers each change at once, and random ones the whole evidence
-// again and again until there is none. It does not wake up without evidence.
+// again and again until there is none. An instance that no control instance lists asks a
+// peer: nobody tells it anything, but callers may still use it.
 func (x *Exchange) shareEvidence(ctx context.Context) {
+	ask := time.NewTicker(askInterval)
+	defer ask.Stop()
 	var repeat <-chan time.Time
 	for {
 		peers := 0
 		select {
 		case <-ctx.Done():
 			return
+		case <-ask.C:
+			x.askForEvidence()
+			continue
 		case <-x.evidence.Changed():
 			peers = len(x.entries())
 		case <-repeat:
@@ -57,14 +65,11 @@
 	}
 }
 
-// askForEvidence asks a random peer for its evidence, if this instance is not listed:
-// peers then do not tell it anything by themselves.
-func (x *Exchange) askForEvidence(now time.Time) {
-	if _, listed := x.entries()[x.self]; listed || now.Sub(x.askedAt) < evidenceInterval {
-		return
+// askForEvidence asks a random peer for its evidence if this instance is not listed.
+func (x *Exchange) askForEvidence() {
+	if _, listed := x.entries()[x.self]; !listed {
+		x.sendEvidence(&api.FleetEvidence{WantsReply: true}, x.randomPeers(1))
 	}
-	x.askedAt = now
-	x.sendEvidence(&api.FleetEvidence{WantsReply: true}, x.randomPeers(1))
 }
 
 // randomPeers returns the addresses of at most n other entry instances.
--- a/internal/loads/evidence_test.go
+++ b/internal/loads/evidence_test.go
@@ -98,21 +98,7 @@
 	for _, s := range stores {
 		awaitQuarantine(t, s)
 	}
-	store := quarantine.New(zerolog.Nop(), tally.NoopScope, time.Now)
-	x, err := Listen("d", "a", "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, noLoads{}, store, tally.NoopScope)
-	assert.NilError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		x.receiveLoads(ctx)
-	}()
-	defer func() {
-		cancel()
-		_ = x.conn.Close()
-		<-done
-	}()
-	x.askForEvidence(time.Now())
+	store := startEvidence(t, "d", "127.0.0.1:0", peers)
 	awaitQuarantine(t, store)
 
 	assert.Assert(t, stores[0].Lift(stores[0].List()[0].Parts))
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -70,7 +70,6 @@
 	entries       func() map[string]fleet.Watcher
 	loads         LoadTable
 	evidence      EvidenceStore
-	askedAt       time.Time // when a peer was last asked for its evidence
 	conn          *net.UDPConn
 	metrics       tally.Scope
 }
@@ -103,7 +102,6 @@
 	for x.awaitLoads(ctx, local.idle() && remote.idle()) {
 		local.peers, remote.peers = x.peers()
 		loads, now := x.loads.Loads(), time.Now()
-		x.askForEvidence(now)
 		for _, g := range []*peerGroup{&local, &remote} {
 			if g.markSentIfDue(loads, now) {
 				x.sendLoads(g.peers, loads)
