quarantine: evidence fits into a datagram, decisions are bounded

Cause: 128 crashes with their suspects exceed the largest datagram, which is then not sent, just when many targets crash; and a decision read all crashes once for each part (60 s were not enough for 128 crashes with 64 suspects, with the race detector). Change: the newest crashes that no quarantine explains, 12 KiB, 4 KiB a crash; one index of the parts; 64 crashes of 32 suspects. TestEvidenceFitsIntoADatagram failed by time and passes.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -49,10 +48,10 @@
 // Several sets with the same number are returned only if the number is certainCrashes
 // or more; otherwise the next crash will tell.
 func (s *Store) strongest() []candidate {
-	open := s.openCrashes()
+	index := indexParts(s.openCrashes())
 	var best []candidate
-	for _, p := range suspectParts(open) {
-		c, ok := s.examine(p, open)
+	for _, p := range slices.Sorted(maps.Keys(index)) {
+		c, ok := s.examine(p, index[p])
 		if !ok {
 			continue
 		}
@@ -81,68 +80,90 @@
 	return open
 }
 
-// suspectParts returns the parts of all suspects, sorted.
-func suspectParts(crashes []*crash) []string {
-	parts := map[string]bool{}
+// appearance is a crash that a part is suspect of, with the suspects that have the part.
+type appearance struct {
+	*crash
+	suspects []Suspect
+}
+
+// indexParts returns, for each shared part, the crashes that it is suspect of, in their
+// order.
+func indexParts(crashes []*crash) map[string][]appearance {
+	index := map[string][]appearance{}
 	for _, c := range crashes {
 		for _, x := range c.suspects {
 			for _, p := range x.Shared {
-				parts[p] = true
+				list := index[p]
+				if n := len(list); n > 0 && list[n-1].crash == c {
+					list[n-1].suspects = append(list[n-1].suspects, x)
+					continue
+				}
+				index[p] = append(list, appearance{crash: c, suspects: []Suspect{x}})
 			}
 		}
 	}
-	return slices.Sorted(maps.Keys(parts))
+	return index
 }
 
 // examine returns the set of parts that come with part p in each crash that p is
 // suspect of, p included. It returns false if the evidence does not suffice.
-func (s *Store) examine(p string, crashes []*crash) (candidate, bool) {
-	var first, last *crash
-	var common []string
-	chain := 0
-	owners := map[string]bool{}
-	for _, c := range crashes {
-		together, sentAt := c.partsWith(p, owners)
-		if together == nil {
-			continue
-		}
-		if first == nil {
-			first, common = c, together
-		}
-		common = slices.DeleteFunc(common, func(q string) bool { return !slices.Contains(together, q) })
-		if last == nil || !sentAt.Before(last.at) {
-			chain++
-			last = c
-		}
-	}
+func (s *Store) examine(p string, appearances []appearance) (candidate, bool) {
 	needed := minCrashes
 	if s.isQuarantined(p) {
 		needed = minCrashesToNarrow
 	}
-	if chain < needed || len(owners) < minRequests {
+	first := appearances[0]
+	since := first.at.Add(-cleanBefore)
+	chain := chainLength(appearances)
+	if chain < needed || countOwners(appearances) < minRequests {
 		return candidate{}, false
 	}
-	since := first.at.Add(-cleanBefore)
 	if s.cleanAfter(p, since) || !s.cleanAfter(serviceKey(first.service), first.at) {
 		return candidate{}, false
 	}
+	common := commonParts(appearances)
 	common = slices.DeleteFunc(common, func(q string) bool { return s.cleanAfter(q, since) })
-	slices.SortFunc(common, cmp.Compare[string])
-	return candidate{parts: slices.Compact(common), crashes: chain}, true
+	return candidate{parts: common, crashes: chain}, true
 }
 
-// partsWith returns the shared parts of the suspects that have part p, and when the last
-// of them was sent; nil if there is none. It adds their own parts to owners.
-func (c *crash) partsWith(p string, owners map[string]bool) (together []string, sentAt time.Time) {
-	for _, x := range c.suspects {
-		if !slices.Contains(x.Shared, p) {
-			continue
+// chainLength returns how many of the crashes follow each other: each by a request that
+// was sent after the crash before it.
+func chainLength(appearances []appearance) int {
+	length := 0
+	var last *crash
+	for _, a := range appearances {
+		sentLate := slices.ContainsFunc(a.suspects, func(x Suspect) bool { return last == nil || !x.SentAt.Before(last.at) })
+		if sentLate {
+			length++
+			last = a.crash
+		}
+	}
+	return length
+}
+
+// countOwners returns the number of different requests among the suspects.
+func countOwners(appearances []appearance) int {
+	owners := map[string]bool{}
+	for _, a := range appearances {
+		for _, x := range a.suspects {
+			owners[x.Own] = true
 		}
-		owners[x.Own] = true
-		together = append(together, x.Shared...)
-		if x.SentAt.After(sentAt) {
-			sentAt = x.SentAt
+	}
+	return len(owners)
+}
+
+// commonParts returns the parts that come with each of the appearances, sorted.
+func commonParts(appearances []appearance) []string {
+	seenIn := map[string]int{}
+	for n, a := range appearances {
+		for _, x := range a.suspects {
+			for _, p := range x.Shared {
+				if seenIn[p] == n {
+					seenIn[p]++
+				}
+			}
 		}
 	}
-	return together, sentAt
+	maps.DeleteFunc(seenIn, func(_ string, n int) bool { return n < len(appearances) })
+	return slices.Sorted(maps.Keys(seenIn))
 }
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -1,11 +1,14 @@
 package quarantine
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/endivetrack/endivetrack/api"
 )
 
@@ -13,42 +16,43 @@
 	// sentCrashAge is the age up to which crashes are sent to peers. Older ones have
 	// led to a quarantine or are too few.
 	sentCrashAge = 30 * time.Second
+	// maxEvidenceBytes bounds one datagram, without the list of served parts, and
+	// maxCrashBytes the suspects of one crash in it. A datagram in many packets is more
+	// likely to be lost.
+	maxEvidenceBytes = 12 << 10
+	maxCrashBytes    = 4 << 10
 	// maxParts bounds the parts of one received suspect or quarantine.
 	maxParts = 64
 )
 
-// Evidence returns what peers need to know; nil if there is nothing.
+// Evidence returns what peers need to know, within maxEvidenceBytes; nil if there is
+// nothing. Crashes that a quarantine explains are left out, older ones give way to newer
+// ones.
 func (s *Store) Evidence() *api.FleetEvidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	m := &api.FleetEvidence{}
-	suspected := map[string]bool{}
-	for _, c := range s.crashes {
-		if now.Sub(c.at) > sentCrashAge {
-			continue
-		}
-		m.Crashes = append(m.Crashes, encodeCrash(c, now))
-		suspected[serviceKey(c.service)] = true
-		for _, x := range c.suspects {
-			for _, p := range x.Shared {
-				suspected[p] = true
-			}
+	for _, e := range s.quarantines {
+		if now.Before(e.Until) {
+			m.Quarantines = append(m.Quarantines, encodeEntry(e, now))
 		}
 	}
-	for _, e := range s.quarantines {
-		if !now.Before(e.Until) {
+	left := maxEvidenceBytes - proto.Size(m)
+	for _, c := range slices.Backward(s.crashes) {
+		if now.Sub(c.at) > sentCrashAge || s.explained(c) {
 			continue
 		}
-		m.Quarantines = append(m.Quarantines, encodeEntry(e, now))
-		for _, p := range e.Parts {
-			suspected[p] = true
+		x := encodeCrash(c, now)
+		if left -= proto.Size(x); left < 0 {
+			break
 		}
+		m.Crashes = append(m.Crashes, x)
 	}
 	if len(m.Crashes) == 0 && len(m.Quarantines) == 0 {
 		return nil
 	}
-	for p := range suspected {
+	for _, p := range partsOf(m) {
 		if at, ok := s.clean.Peek(p); ok {
 			m.Served = append(m.Served, &api.FleetServedPart{Part: p, AgeMs: millis(now.Sub(at))})
 		}
@@ -56,10 +60,36 @@
 	return m
 }
 
+// partsOf returns the shared parts and the keys of the services that evidence names.
+func partsOf(m *api.FleetEvidence) []string {
+	parts := map[string]bool{}
+	add := func(list []string) {
+		for _, p := range list {
+			parts[p] = true
+		}
+	}
+	for _, c := range m.Crashes {
+		parts[serviceKey(c.Service)] = true
+		for _, x := range c.Suspects {
+			add(x.Shared)
+		}
+	}
+	for _, q := range m.Quarantines {
+		add(q.Parts)
+	}
+	return slices.Collect(maps.Keys(parts))
+}
+
+// encodeCrash encodes a crash with as many of its suspects as fit into maxCrashBytes.
 func encodeCrash(c *crash, now time.Time) *api.FleetCrash {
 	m := &api.FleetCrash{Target: c.id.Target, Born: c.id.Incarnation, Service: c.service, AgeMs: millis(now.Sub(c.at))}
+	left := maxCrashBytes
 	for _, x := range c.suspects {
-		m.Suspects = append(m.Suspects, &api.FleetSuspect{Shared: x.Shared, Own: x.Own, SentMs: millis(now.Sub(x.SentAt))})
+		encoded := &api.FleetSuspect{Shared: x.Shared, Own: x.Own, SentMs: millis(now.Sub(x.SentAt))}
+		if left -= proto.Size(encoded); left < 0 {
+			break
+		}
+		m.Suspects = append(m.Suspects, encoded)
 	}
 	return m
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -27,9 +27,10 @@
 const (
 	// crashRetention is how long a crash counts.
 	crashRetention = 10 * time.Minute
-	maxCrashes     = 128
-	// maxSuspects bounds the suspects of one crash; a target runs at most a few dozen requests.
-	maxSuspects = 64
+	maxCrashes     = 64
+	// maxSuspects bounds the suspects of one crash; a target begins only a few requests at
+	// a time.
+	maxSuspects = 32
 	// maxCleanParts bounds the parts whose last success is known. Those that were served
 	// least recently are forgotten first.
 	maxCleanParts  = 4096
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/endivetrack/endivetrack/api"
@@ -242,3 +243,18 @@
 	assert.Equal(t, call("GET", "/quarantines").Body.String(), "[]\n")
 	assert.Assert(t, !p.refuses("dead", "9"))
 }
+
+// Guards against evidence that no datagram can carry while many targets crash.
+func TestEvidenceFitsIntoADatagram(t *testing.T) {
+	p := newPlay()
+	p.serve("5a", "1")
+	for n := range maxCrashes {
+		for k := range maxSuspects {
+			parts := []string{fmt.Sprintf("%040d", n), fmt.Sprintf("%040d", k), fmt.Sprint(k)}
+			p.RecordCrash(CrashID{Target: fmt.Sprint("i", n)}, "llm", p.clock, NewSuspect(parts, p.clock))
+		}
+	}
+	m := p.Evidence()
+	assert.Assert(t, len(m.Crashes) > 0 && m.Crashes[0].Target == fmt.Sprint("i", maxCrashes-1), "the newest crash is told first")
+	assert.Assert(t, proto.Size(m) < 32<<10, "%d bytes", proto.Size(m))
+}
