--- /dev/null
+++ b/internal/forward/pending.go
@@ -0,0 +1,67 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/endivetrack/endivetrack/internal/quarantine"
+)
+
+// errWithdrawn means that the request was withdrawn from its target before an answer
+// began, because its parts were quarantined.
+var errWithdrawn = fmt.Errorf("withdrawn from the target: parts of the prompt crash targets: %w", context.Canceled)
+
+// pendingAttempts holds the attempts that targets have not begun to answer.
+type pendingAttempts struct {
+	mu       sync.Mutex
+	attempts map[*pendingAttempt]bool
+}
+
+type pendingAttempt struct {
+	parts  []string
+	cancel context.CancelCauseFunc
+}
+
+// begin returns a context for one attempt that ends when the request is withdrawn. The
+// returned function must be called when the answer begins or the attempt ends; it leaves
+// the context as it is.
+func (p *pendingAttempts) begin(ctx context.Context, q *request) (context.Context, func()) {
+	if len(q.parts) == 0 {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &pendingAttempt{parts: q.parts, cancel: cancel}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.attempts == nil {
+		p.attempts = map[*pendingAttempt]bool{}
+	}
+	p.attempts[a] = true
+	return ctx, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.attempts, a)
+	}
+}
+
+// withdraw ends the attempts of requests that have all of the parts.
+func (p *pendingAttempts) withdraw(parts []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a := range p.attempts {
+		if quarantine.ContainsAll(a.parts, parts) {
+			a.cancel(errWithdrawn)
+		}
+	}
+}
+
+// withdrawnError returns errWithdrawn if the attempt failed because it was withdrawn, and
+// err otherwise.
+func withdrawnError(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), errWithdrawn) {
+		return errWithdrawn
+	}
+	return err
+}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"testing"
@@ -152,3 +153,18 @@
 	alone.markSentIfDue(map[string]forward.Load{}, now)
 	assert.Assert(t, alone.idle())
 }
+
+// Guards against limits that change on their way to a peer.
+func TestLimitsAreEncoded(t *testing.T) {
+	now := time.Now()
+	at := now.Add(-1500 * time.Millisecond)
+	for _, want := range []forward.Load{
+		{Requests: 1, Limit: forward.NamedLimit{Rate: 3.25, At: at}},
+		{Limit: forward.NamedLimit{At: at}},
+		{Requests: 1},
+	} {
+		assert.Equal(t, decodeLoad(encodeLoad("t", want, now), now), want)
+	}
+	malformed := &api.FleetTargetLoad{Limit: math.NaN(), LimitAgeMs: proto.Uint32(1)}
+	assert.Equal(t, decodeLoad(malformed, now), forward.Load{})
+}
