--- a/internal/loads/evidence_test.go
+++ b/internal/loads/evidence_test.go
@@ -1,7 +1,6 @@
 package loads
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"testing"
@@ -23,16 +22,7 @@
 	store := quarantine.New(zerolog.Nop(), tally.NoopScope, time.Now)
 	x, err := Listen(name, "a", address, func() map[string]fleet.Watcher { return peers }, noLoads{}, store, tally.NoopScope)
 	assert.NilError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		x.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	runUntilEnd(t, x)
 	return store
 }
 
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -47,6 +47,12 @@
 	r := &loadRecorder{own: own, received: make(chan map[string]forward.Load, 100)}
 	x, err := Listen(name, "a", "127.0.0.1:0", func() map[string]fleet.Watcher { return peers }, r, noEvidence{}, tally.NoopScope)
 	assert.NilError(t, err)
+	runUntilEnd(t, x)
+	return r, x.conn.LocalAddr().String()
+}
+
+// runUntilEnd runs an exchange until the test ends.
+func runUntilEnd(t *testing.T, x *Exchange) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -57,7 +63,6 @@
 		cancel()
 		<-done
 	})
-	return r, x.conn.LocalAddr().String()
 }
 
 // Guards against loads that do not reach a peer, and against loads that remain
