--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -33,9 +33,9 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	m := &api.FleetEvidence{}
-	for _, e := range s.quarantines {
-		if now.Before(e.Until) {
-			m.Quarantines = append(m.Quarantines, encodeEntry(e, now))
+	for _, r := range s.quarantines {
+		if now.Before(r.Until) {
+			m.Quarantines = append(m.Quarantines, encodeRecord(r, now))
 		}
 	}
 	left := maxEvidenceBytes - proto.Size(m)
@@ -94,10 +94,10 @@
 	return m
 }
 
-func encodeEntry(e *entry, now time.Time) *api.FleetQuarantine {
+func encodeRecord(r *record, now time.Time) *api.FleetQuarantine {
 	return &api.FleetQuarantine{
-		Parts: e.Parts, SinceMs: millis(now.Sub(e.Since)), LeftMs: millis(e.Until.Sub(now)), ChangedMs: millis(now.Sub(e.changedAt)),
-		Times: uint32(e.Times), Lifted: e.lifted,
+		Parts: r.Parts, SinceMs: millis(now.Sub(r.Since)), LeftMs: millis(r.Until.Sub(now)), ChangedMs: millis(now.Sub(r.changedAt)),
+		Times: uint32(r.Times), Lifted: r.lifted,
 	}
 }
 
@@ -118,7 +118,7 @@
 		s.mergeCrash(c, now)
 	}
 	for _, q := range m.GetQuarantines() {
-		s.mergeEntry(q, now)
+		s.mergeRecord(q, now)
 	}
 	s.correct(now)
 	s.decide(now)
@@ -153,8 +153,8 @@
 	}
 }
 
-// mergeEntry adopts a peer's quarantine unless this instance knows a newer state of it.
-func (s *Store) mergeEntry(m *api.FleetQuarantine, now time.Time) {
+// mergeRecord adopts a peer's quarantine unless this instance knows a newer state of it.
+func (s *Store) mergeRecord(m *api.FleetQuarantine, now time.Time) {
 	parts := slices.Clone(m.GetParts())
 	slices.Sort(parts)
 	if len(parts) == 0 || len(parts) > maxParts || strings.Contains(key(parts), ":") {
@@ -168,14 +168,14 @@
 	if s.supersededByPart(parts, now) {
 		return
 	}
-	e := &entry{lifted: m.GetLifted(), changedAt: changedAt, Quarantine: Quarantine{
+	r := &record{lifted: m.GetLifted(), changedAt: changedAt, Quarantine: Quarantine{
 		Parts: parts, Since: before(now, m.GetSinceMs()), Until: now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond), Times: int(m.GetTimes()),
 	}}
-	if e.active(now) {
+	if r.active(now) {
 		s.removeSupersets(parts)
-		s.log.Warn().Strs("parts", parts).Int("times", e.Times).Msg("prompt parts quarantined by a peer")
+		s.log.Warn().Strs("parts", parts).Int("times", r.Times).Msg("prompt parts quarantined by a peer")
 	}
-	s.put(e)
+	s.put(r)
 	s.updateGauge(now)
 }
 
@@ -183,9 +183,9 @@
 // by datagrams that took different times.
 const mergeTolerance = 500 * time.Millisecond
 
-// isNewer reports whether a peer's state of an entry, lifted or not, is newer than the
+// isNewer reports whether a peer's state of a record, lifted or not, is newer than the
 // known one. Of two states of the same time the lifted one is the newer.
-func isNewer(lifted bool, changedAt time.Time, known *entry) bool {
+func isNewer(lifted bool, changedAt time.Time, known *record) bool {
 	if lifted && !known.lifted {
 		return changedAt.After(known.changedAt.Add(-mergeTolerance))
 	}
@@ -194,8 +194,8 @@
 
 // supersededByPart reports whether a quarantine of fewer of the parts is in force.
 func (s *Store) supersededByPart(parts []string, now time.Time) bool {
-	for _, e := range s.quarantines {
-		if e.active(now) && len(e.Parts) < len(parts) && ContainsAll(parts, e.Parts) {
+	for _, r := range s.quarantines {
+		if r.active(now) && len(r.Parts) < len(parts) && ContainsAll(parts, r.Parts) {
 			return true
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -88,7 +88,7 @@
 	mu          sync.Mutex
 	crashes     []*crash // in the order in which they became known
 	clean       *lru.LRU[string, time.Time]
-	quarantines map[string]*entry // by key
+	quarantines map[string]*record // by key
 	decidedAt   time.Time
 	onBegin     func(parts []string)
 	changed     chan struct{}
@@ -100,7 +100,7 @@
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
-	return &Store{log: log, metrics: metrics, now: now, clean: clean, quarantines: map[string]*entry{}, changed: make(chan struct{}, 1)}
+	return &Store{log: log, metrics: metrics, now: now, clean: clean, quarantines: map[string]*record{}, changed: make(chan struct{}, 1)}
 }
 
 // OnBegin sets a function that is called, in a goroutine of its own, with the parts of
@@ -190,9 +190,9 @@
 		return Quarantine{}, false
 	}
 	now := s.now()
-	for _, e := range s.quarantines {
-		if e.active(now) && ContainsAll(parts, e.Parts) {
-			return e.Quarantine, true
+	for _, r := range s.quarantines {
+		if r.active(now) && ContainsAll(parts, r.Parts) {
+			return r.Quarantine, true
 		}
 	}
 	return Quarantine{}, false
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/record.go
@@ -22,32 +22,32 @@
 	Times int `json:"times"`
 }
 
-// entry is a quarantine with its state. After its end it is kept as long as it held:
+// record is a quarantine with its state. After its end it is kept as long as it held:
 // one crash then suffices to quarantine its parts again.
-type entry struct {
+type record struct {
 	Quarantine
 	lifted    bool
 	changedAt time.Time
 }
 
-func (e *entry) active(now time.Time) bool { return !e.lifted && now.Before(e.Until) }
+func (r *record) active(now time.Time) bool { return !r.lifted && now.Before(r.Until) }
 
-// end returns until when the entry explains crashes.
-func (e *entry) end() time.Time {
-	if e.lifted {
-		return e.changedAt
+// end returns until when the record explains crashes.
+func (r *record) end() time.Time {
+	if r.lifted {
+		return r.changedAt
 	}
-	return e.Until
+	return r.Until
 }
 
-// explains reports whether one of the crash's suspects has all parts of the entry.
-func (e *entry) explains(c *crash) bool {
-	return slices.ContainsFunc(c.suspects, func(x Suspect) bool { return ContainsAll(x.Shared, e.Parts) })
+// explains reports whether one of the crash's suspects has all parts of the record.
+func (r *record) explains(c *crash) bool {
+	return slices.ContainsFunc(c.suspects, func(x Suspect) bool { return ContainsAll(x.Shared, r.Parts) })
 }
 
 func (s *Store) explained(c *crash) bool {
-	for _, e := range s.quarantines {
-		if c.at.Before(e.end()) && e.explains(c) {
+	for _, r := range s.quarantines {
+		if c.at.Before(r.end()) && r.explains(c) {
 			return true
 		}
 	}
@@ -55,8 +55,8 @@
 }
 
 func (s *Store) isQuarantined(part string) bool {
-	for _, e := range s.quarantines {
-		if !e.lifted && slices.Contains(e.Parts, part) {
+	for _, r := range s.quarantines {
+		if !r.lifted && slices.Contains(r.Parts, part) {
 			return true
 		}
 	}
@@ -70,17 +70,17 @@
 		times = old.Times + 1
 	}
 	s.removeSupersets(c.parts)
-	s.put(&entry{Quarantine: Quarantine{Parts: c.parts, Since: now, Until: now.Add(hold(times)), Times: times}, changedAt: now})
+	s.put(&record{Quarantine: Quarantine{Parts: c.parts, Since: now, Until: now.Add(hold(times)), Times: times}, changedAt: now})
 	s.metrics.Counter("quarantine.begun").Inc(1)
 	s.log.Error().Strs("parts", c.parts).Int("crashes", c.crashes).Int("times", times).Dur("hold", hold(times)).Msg("prompt parts quarantined")
 	s.updateGauge(now)
 	s.notifyChanged()
 }
 
-// removeSupersets removes the entries that contain all of the parts.
+// removeSupersets removes the records that contain all of the parts.
 func (s *Store) removeSupersets(parts []string) {
-	for k, e := range s.quarantines {
-		if ContainsAll(e.Parts, parts) {
+	for k, r := range s.quarantines {
+		if ContainsAll(r.Parts, parts) {
 			delete(s.quarantines, k)
 		}
 	}
@@ -91,16 +91,16 @@
 	return min(maxHold, firstHold<<min(times-1, 10))
 }
 
-// put stores an entry. If there are too many, the one that ends first is removed.
-func (s *Store) put(e *entry) {
-	s.quarantines[key(e.Parts)] = e
-	if s.onBegin != nil && e.active(s.now()) {
-		go s.onBegin(e.Parts)
+// put stores a record. If there are too many, the one that ends first is removed.
+func (s *Store) put(r *record) {
+	s.quarantines[key(r.Parts)] = r
+	if s.onBegin != nil && r.active(s.now()) {
+		go s.onBegin(r.Parts)
 	}
 	if len(s.quarantines) <= maxQuarantines {
 		return
 	}
-	var oldest *entry
+	var oldest *record
 	for _, x := range s.quarantines {
 		if oldest == nil || x.end().Before(oldest.end()) {
 			oldest = x
@@ -112,52 +112,52 @@
 // correct removes the parts that were served from the quarantines. One without a part
 // left was wrong.
 func (s *Store) correct(now time.Time) {
-	for k, e := range s.quarantines {
-		if !e.active(now) {
+	for k, r := range s.quarantines {
+		if !r.active(now) {
 			continue
 		}
-		rest := slices.DeleteFunc(slices.Clone(e.Parts), func(p string) bool { return s.cleanAfter(p, e.Since) })
+		rest := slices.DeleteFunc(slices.Clone(r.Parts), func(p string) bool { return s.cleanAfter(p, r.Since) })
 		switch len(rest) {
-		case len(e.Parts):
+		case len(r.Parts):
 		case 0:
-			s.lift(e, now, "requests with these parts were served")
+			s.lift(r, now, "requests with these parts were served")
 		default:
 			delete(s.quarantines, k)
-			s.narrow(e, rest, now)
+			s.narrow(r, rest, now)
 		}
 	}
 }
 
-// narrow replaces an entry by one for fewer of its parts.
-func (s *Store) narrow(e *entry, parts []string, now time.Time) {
+// narrow replaces a record by one for fewer of its parts.
+func (s *Store) narrow(r *record, parts []string, now time.Time) {
 	if known := s.quarantines[key(parts)]; known != nil && known.active(now) {
 		return
 	}
-	e.Parts, e.changedAt = parts, now
-	s.put(e)
+	r.Parts, r.changedAt = parts, now
+	s.put(r)
 	s.log.Warn().Strs("parts", parts).Msg("prompt parts quarantined without those that were served")
 	s.notifyChanged()
 }
 
-func (s *Store) lift(e *entry, now time.Time, reason string) {
-	e.lifted, e.changedAt = true, now
+func (s *Store) lift(r *record, now time.Time, reason string) {
+	r.lifted, r.changedAt = true, now
 	s.metrics.Counter("quarantine.lifted").Inc(1)
-	s.log.Warn().Strs("parts", e.Parts).Str("reason", reason).Msg("quarantine lifted")
+	s.log.Warn().Strs("parts", r.Parts).Str("reason", reason).Msg("quarantine lifted")
 	s.updateGauge(now)
 	s.notifyChanged()
 }
 
-// expire forgets old crashes and entries, and renews an ended quarantine whose parts
+// expire forgets old crashes and records, and renews an ended quarantine whose parts
 // crash a target again.
 func (s *Store) expire(now time.Time) {
 	s.crashes = slices.DeleteFunc(s.crashes, func(c *crash) bool { return now.Sub(c.at) > crashRetention })
-	for k, e := range s.quarantines {
-		held := e.Until.Sub(e.Since)
+	for k, r := range s.quarantines {
+		held := r.Until.Sub(r.Since)
 		switch {
-		case now.After(e.Until.Add(held)):
+		case now.After(r.Until.Add(held)):
 			delete(s.quarantines, k)
-		case !e.lifted && !e.active(now) && s.crashesAgain(e):
-			s.quarantine(candidate{parts: e.Parts, crashes: 1}, now)
+		case !r.lifted && !r.active(now) && s.crashesAgain(r):
+			s.quarantine(candidate{parts: r.Parts, crashes: 1}, now)
 		}
 	}
 	s.updateGauge(now)
@@ -165,17 +165,17 @@
 
 // crashesAgain reports whether a target has crashed with the parts of an ended
 // quarantine, and no request with one of them was served since it ended.
-func (s *Store) crashesAgain(e *entry) bool {
-	if slices.ContainsFunc(e.Parts, func(p string) bool { return s.cleanAfter(p, e.Until) }) {
+func (s *Store) crashesAgain(r *record) bool {
+	if slices.ContainsFunc(r.Parts, func(p string) bool { return s.cleanAfter(p, r.Until) }) {
 		return false
 	}
-	return slices.ContainsFunc(s.crashes, func(c *crash) bool { return c.at.After(e.Until) && e.explains(c) })
+	return slices.ContainsFunc(s.crashes, func(c *crash) bool { return c.at.After(r.Until) && r.explains(c) })
 }
 
 func (s *Store) updateGauge(now time.Time) {
 	active := 0
-	for _, e := range s.quarantines {
-		if e.active(now) {
+	for _, r := range s.quarantines {
+		if r.active(now) {
 			active++
 		}
 	}
@@ -188,9 +188,9 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	out := []Quarantine{}
-	for _, e := range s.quarantines {
-		if e.active(now) {
-			out = append(out, e.Quarantine)
+	for _, r := range s.quarantines {
+		if r.active(now) {
+			out = append(out, r.Quarantine)
 		}
 	}
 	slices.SortFunc(out, func(a, b Quarantine) int { return b.Since.Compare(a.Since) })
@@ -205,10 +205,10 @@
 	now := s.now()
 	sorted := slices.Clone(parts)
 	slices.Sort(sorted)
-	e := s.quarantines[key(sorted)]
-	if e == nil || !e.active(now) {
+	r := s.quarantines[key(sorted)]
+	if r == nil || !r.active(now) {
 		return false
 	}
-	s.lift(e, now, "by an operator")
+	s.lift(r, now, "by an operator")
 	return true
 }
