age, quarantine, loads, forward: one encoding of ages, one way to take a token

Read again: ages in milliseconds were clamped and decoded twice, in quarantine and in loads; a token was taken by hand beside takeToken; a constant stood apart from the others. No behaviour changed.

--- a/internal/forward/lease.go
+++ b/internal/forward/lease.go
@@ -69,6 +69,11 @@
 // send them all at once.
 func (c *tokenBucket) takeToken(rate, burst float64, now time.Time) bool {
 	c.refill(rate, burst, now)
+	return c.take()
+}
+
+// take reports whether it could take a token of those that the bucket holds.
+func (c *tokenBucket) take() bool {
 	if c.tokens < 1 {
 		return false
 	}
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -133,8 +133,7 @@
 	if e.limitBucket.tokens < 1 || !t.admitToColdTarget(e, s, now) {
 		return false
 	}
-	e.limitBucket.tokens--
-	return true
+	return e.limitBucket.take()
 }
 
 // chargeLimit counts a request that is sent whatever the limit. The caller holds t.mu.
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -21,6 +21,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/age"
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/forward"
 	"github.com/endivetrack/endivetrack/internal/sleep"
@@ -242,15 +243,15 @@
 	entries := x.entries()
 	for name, at := range lastReceived {
 		_, listed := entries[name]
-		if age := now.Sub(at); age > expireAfter || (!listed && age > expireUnlistedAfter) {
+		if silent := now.Sub(at); silent > expireAfter || (!listed && silent > expireUnlistedAfter) {
 			x.loads.SetLoads(name, nil)
 			delete(lastReceived, name)
 		}
 	}
 }
 
-// handleDatagram merges a peer's evidence, or stores the loads from a peer's datagram, and now as the time of
-// receipt.
+// handleDatagram merges a peer's evidence, or stores the loads from a peer's datagram
+// and now as the time of receipt.
 func (x *Exchange) handleDatagram(datagram []byte, from netip.AddrPort, lastReceived map[string]time.Time, now time.Time) {
 	var m api.FleetLoad
 	err := proto.Unmarshal(datagram, &m)
@@ -275,7 +276,7 @@
 		Id: id, Requests: uint32(l.Requests), Tokens: uint32(l.Tokens), Incoming: uint32(l.IncomingCopies), Starting: uint32(l.PrefillTokens), Suspect: l.Suspect,
 	}
 	if !l.Limit.At.IsZero() {
-		m.Limit, m.LimitAgeMs = l.Limit.Rate, proto.Uint32(uint32(min(max(0, now.Sub(l.Limit.At).Milliseconds()), math.MaxUint32)))
+		m.Limit, m.LimitAgeMs = l.Limit.Rate, proto.Uint32(age.Of(l.Limit.At, now))
 	}
 	return m
 }
@@ -285,7 +286,7 @@
 		Requests: int(m.GetRequests()), Tokens: int(m.GetTokens()), IncomingCopies: int(m.GetIncoming()), PrefillTokens: int(m.GetStarting()), Suspect: m.GetSuspect(),
 	}
 	if rate := m.GetLimit(); m.LimitAgeMs != nil && rate >= 0 && !math.IsInf(rate, 0) {
-		l.Limit = forward.NamedLimit{Rate: rate, At: now.Add(-time.Duration(m.GetLimitAgeMs()) * time.Millisecond)}
+		l.Limit = forward.NamedLimit{Rate: rate, At: age.Time(now, m.GetLimitAgeMs())}
 	}
 	return l
 }
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -10,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/age"
 )
 
 const (
@@ -23,6 +23,9 @@
 	maxCrashBytes    = 4 << 10
 	// maxParts bounds the parts of one received suspect or quarantine.
 	maxParts = 64
+	// mergeTolerance is the difference below which two times of change are the same one,
+	// told by datagrams that took different times.
+	mergeTolerance = 500 * time.Millisecond
 )
 
 // Evidence returns what peers need to know, within maxEvidenceBytes; nil if there is
@@ -54,7 +57,7 @@
 	}
 	for _, p := range partsOf(m) {
 		if at, ok := s.clean.Peek(p); ok {
-			m.Served = append(m.Served, &api.FleetServedPart{Part: p, AgeMs: millis(now.Sub(at))})
+			m.Served = append(m.Served, &api.FleetServedPart{Part: p, AgeMs: age.Of(at, now)})
 		}
 	}
 	return m
@@ -82,10 +85,10 @@
 
 // encodeCrash encodes a crash with as many of its suspects as fit into maxCrashBytes.
 func encodeCrash(c *crash, now time.Time) *api.FleetCrash {
-	m := &api.FleetCrash{Target: c.id.Target, Born: c.id.Incarnation, Service: c.service, AgeMs: millis(now.Sub(c.at))}
+	m := &api.FleetCrash{Target: c.id.Target, Born: c.id.Incarnation, Service: c.service, AgeMs: age.Of(c.at, now)}
 	left := maxCrashBytes
 	for _, x := range c.suspects {
-		encoded := &api.FleetSuspect{Shared: x.Shared, Own: x.Own, SentMs: millis(now.Sub(x.SentAt))}
+		encoded := &api.FleetSuspect{Shared: x.Shared, Own: x.Own, SentMs: age.Of(x.SentAt, now)}
 		if left -= proto.Size(encoded); left < 0 {
 			break
 		}
@@ -96,16 +99,11 @@
 
 func encodeRecord(r *record, now time.Time) *api.FleetQuarantine {
 	return &api.FleetQuarantine{
-		Parts: r.Parts, SinceMs: millis(now.Sub(r.Since)), LeftMs: millis(r.Until.Sub(now)), ChangedMs: millis(now.Sub(r.changedAt)),
+		Parts: r.Parts, SinceMs: age.Of(r.Since, now), LeftMs: age.Millis(r.Until.Sub(now)), ChangedMs: age.Of(r.changedAt, now),
 		Times: uint32(r.Times), Lifted: r.lifted,
 	}
 }
 
-// millis returns d in milliseconds; 0 if it is negative.
-func millis(d time.Duration) uint32 {
-	return uint32(min(max(0, d.Milliseconds()), math.MaxUint32))
-}
-
 // Merge adds what a peer knows.
 func (s *Store) Merge(m *api.FleetEvidence) {
 	s.mu.Lock()
@@ -124,20 +122,15 @@
 	s.decide(now)
 }
 
-// before returns the time that lies ms milliseconds before now.
-func before(now time.Time, ms uint32) time.Time {
-	return now.Add(-time.Duration(ms) * time.Millisecond)
-}
-
 func (s *Store) mergeServed(m *api.FleetServedPart, now time.Time) {
-	at := before(now, m.GetAgeMs())
+	at := age.Time(now, m.GetAgeMs())
 	if known, ok := s.clean.Peek(m.GetPart()); !ok || at.After(known) {
 		s.clean.Add(m.GetPart(), at)
 	}
 }
 
 func (s *Store) mergeCrash(m *api.FleetCrash, now time.Time) {
-	id, at := CrashID{Target: m.GetTarget(), Incarnation: m.GetBorn()}, before(now, m.GetAgeMs())
+	id, at := CrashID{Target: m.GetTarget(), Incarnation: m.GetBorn()}, age.Time(now, m.GetAgeMs())
 	c := s.crash(id)
 	if c == nil {
 		c = &crash{id: id, service: m.GetService(), at: at}
@@ -148,7 +141,7 @@
 	}
 	for _, x := range m.GetSuspects() {
 		if shared := x.GetShared(); len(shared) <= maxParts {
-			c.addSuspect(Suspect{Shared: shared, Own: x.GetOwn(), SentAt: before(now, x.GetSentMs())})
+			c.addSuspect(Suspect{Shared: shared, Own: x.GetOwn(), SentAt: age.Time(now, x.GetSentMs())})
 		}
 	}
 }
@@ -160,7 +153,7 @@
 	if len(parts) == 0 || len(parts) > maxParts || strings.Contains(key(parts), ":") {
 		return
 	}
-	changedAt := before(now, m.GetChangedMs())
+	changedAt := age.Time(now, m.GetChangedMs())
 	known := s.quarantines[key(parts)]
 	if known != nil && !isNewer(m.GetLifted(), changedAt, known) {
 		return
@@ -169,7 +162,7 @@
 		return
 	}
 	r := &record{lifted: m.GetLifted(), changedAt: changedAt, Quarantine: Quarantine{
-		Parts: parts, Since: before(now, m.GetSinceMs()), Until: now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond), Times: int(m.GetTimes()),
+		Parts: parts, Since: age.Time(now, m.GetSinceMs()), Until: now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond), Times: int(m.GetTimes()),
 	}}
 	if r.active(now) {
 		s.removeSupersets(parts)
@@ -179,10 +172,6 @@
 	s.updateGauge(now)
 }
 
-// mergeTolerance is the difference below which two times of change are the same one, told
-// by datagrams that took different times.
-const mergeTolerance = 500 * time.Millisecond
-
 // isNewer reports whether a peer's state of a record, lifted or not, is newer than the
 // known one. Of two states of the same time the lifted one is the newer.
 func isNewer(lifted bool, changedAt time.Time, known *record) bool {
--- a/internal/quarantine/handler.go
+++ b/internal/quarantine/handler.go
@@ -8,7 +8,7 @@
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
-// Path at which an instance lists its quarantines. DELETE with the parts as a further
+// path is where an instance lists its quarantines. DELETE with the parts as a further
 // path element, separated by commas, lifts one at all instances.
 const path = "/quarantines"
 
