--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -39,6 +39,10 @@
 	decideInterval = 100 * time.Millisecond
 )
 
+// IdentityPrefix begins the identity of a whole request, which its repeats have in common.
+// IDs of parts do not contain it.
+const IdentityPrefix = "request="
+
 // CrashID identifies a crash: each incarnation of a target crashes at most once.
 type CrashID struct {
 	Target      string
