forward: a failing test of one request that crashes each target that begins to run it

Three instances, three targets, callers that repeat; sound lookups, a hot lookup and writes beside it.

--- /dev/null
+++ b/internal/forward/crashing_request_test.go
@@ -0,0 +1,148 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// deadlyBody crashes each target that begins to run a request with it.
+	deadlyBody = "deadly"
+	// settleTime is how long after the third crash further attempts are not counted.
+	settleTime = time.Second
+	// maxLateAttempts is how many attempts may reach targets after that.
+	maxLateAttempts = 3
+)
+
+// linkEvidence passes what each instance knows of crashes on to the others.
+func linkEvidence(t *testing.T, fixtures ...*fixture) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var links sync.WaitGroup
+	for _, from := range fixtures {
+		links.Go(func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-from.config.Quarantine.Changed():
+				}
+				m := from.config.Quarantine.Evidence()
+				for _, to := range fixtures {
+					if m != nil && to != from {
+						to.config.Quarantine.Merge(m)
+					}
+				}
+			}
+		})
+	}
+	t.Cleanup(func() {
+		cancel()
+		links.Wait()
+	})
+}
+
+// crashPlay sends requests to instances that share targets, and counts the sound ones.
+type crashPlay struct {
+	fixtures []*fixture
+	begun    time.Time
+	length   time.Duration
+
+	mu sync.Mutex
+	// sound and served count the sound requests of the second half, by kind.
+	sound, served map[string]int
+}
+
+// repeat sends the requests that next returns until the play ends, one each interval. A
+// request that was lost is sent once more, at another instance.
+func (p *crashPlay) repeat(t *testing.T, kind string, interval time.Duration, retries int, next func(n int) (path, body string)) {
+	for n := 0; time.Since(p.begun) < p.length; n++ {
+		sentAt := time.Now()
+		path, body := next(n)
+		status := 0
+		for try := 0; try <= retries; try++ {
+			f := p.fixtures[(n+try)%len(p.fixtures)]
+			resp, _, err := f.call(t, "POST", path, body, "T-Id", fmt.Sprintf("%s-%d-%d", kind, n, try))
+			if err == nil {
+				status = resp.StatusCode
+			}
+			if status == http.StatusOK || status == http.StatusServiceUnavailable {
+				break
+			}
+		}
+		p.record(kind, sentAt, status == http.StatusOK)
+		time.Sleep(time.Until(sentAt.Add(interval)))
+	}
+}
+
+func (p *crashPlay) record(kind string, sentAt time.Time, served bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if sentAt.Sub(p.begun) < p.length/2 {
+		return
+	}
+	p.sound[kind]++
+	if served {
+		p.served[kind]++
+	}
+}
+
+// lateAttempts returns how many deadly attempts arrived later than settleTime after the
+// third crash, and the number of crashes.
+func lateAttempts(targets []*mortalTarget) (late, crashes int) {
+	var crashedAt, arrivals []time.Time
+	for _, x := range targets {
+		x.mu.Lock()
+		crashedAt = append(crashedAt, x.crashedAt...)
+		arrivals = append(arrivals, x.arrivals...)
+		x.mu.Unlock()
+	}
+	slices.SortFunc(crashedAt, time.Time.Compare)
+	if len(crashedAt) < 3 {
+		return 0, len(crashedAt)
+	}
+	for _, at := range arrivals {
+		if at.Sub(crashedAt[2]) > settleTime {
+			late++
+		}
+	}
+	return late, len(crashedAt)
+}
+
+func TestRequestThatCrashesEachTargetStopsReachingThem(t *testing.T) {
+	targets := newMortalTargets(t, 3)
+	p := &crashPlay{
+		fixtures: []*fixture{newFixture(t, "core"), newFixture(t, "core"), newFixture(t, "core")},
+		begun:    time.Now(), length: 4 * time.Second, sound: map[string]int{}, served: map[string]int{},
+	}
+	announceMortal(t, "core", targets, p.fixtures...)
+	linkEvidence(t, p.fixtures...)
+	var callers sync.WaitGroup
+	for range 2 {
+		callers.Go(func() {
+			p.repeat(t, "deadly", 120*time.Millisecond, 1, func(int) (string, string) { return "/read/deadly", deadlyBody })
+		})
+	}
+	callers.Go(func() {
+		p.repeat(t, "lookup", 10*time.Millisecond, 1, func(n int) (string, string) { return fmt.Sprint("/read/", n), "" })
+	})
+	callers.Go(func() {
+		p.repeat(t, "hot", 20*time.Millisecond, 1, func(int) (string, string) { return "/read/hot", "same" })
+	})
+	callers.Go(func() {
+		p.repeat(t, "write", 20*time.Millisecond, 0, func(n int) (string, string) { return fmt.Sprint("/write/", n), "pay" })
+	})
+	callers.Wait()
+	late, crashes := lateAttempts(targets)
+	assert.Assert(t, late <= maxLateAttempts, "%d attempts after the third crash, %d crashes", late, crashes)
+	assert.Equal(t, p.served["deadly"], 0)
+	for _, kind := range []string{"lookup", "hot", "write"} {
+		assert.Equal(t, p.served[kind], p.sound[kind], "%s: sound requests are served beside the crashing one", kind)
+	}
+}
--- a/internal/forward/deadly_test.go
+++ b/internal/forward/deadly_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -28,9 +29,9 @@
 	firstEventDelay = 5 * time.Millisecond
 )
 
-// mortalTarget answers streams of three events, and crashes when it begins to answer a
-// request with deadlyPart: its process ends, so that it refuses connections, and a new
-// incarnation starts at the same address after targetRestart.
+// mortalTarget answers streams of three events and plain requests, and crashes when it
+// begins to answer a request with deadlyPart or deadlyBody: its process ends, so that it
+// refuses connections, and a new incarnation starts at the same address after targetRestart.
 type mortalTarget struct {
 	id, address string
 
@@ -38,8 +39,10 @@
 	incarnation int64
 	listener    net.Listener
 	conns       map[net.Conn]bool
-	deadly      int // requests with deadlyPart that arrived
+	deadly      int // deadly requests that arrived
 	crashes     int
+	arrivals    []time.Time // of deadly requests
+	crashedAt   []time.Time
 	onRestart   func(incarnation int64)
 }
 
@@ -103,21 +106,31 @@
 		if err != nil {
 			return
 		}
-		deadly := strings.Contains(r.Header.Get("T-Parts"), deadlyPart)
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		deadly := strings.Contains(r.Header.Get("T-Parts"), deadlyPart) || string(body) == deadlyBody
 		if deadly {
 			x.mu.Lock()
 			x.deadly++
+			x.arrivals = append(x.arrivals, time.Now())
 			x.mu.Unlock()
 		}
 		time.Sleep(firstEventDelay)
 		if deadly {
 			x.mu.Lock()
 			x.crashes++
+			x.crashedAt = append(x.crashedAt, time.Now())
 			x.mu.Unlock()
 			x.crash()
 			time.AfterFunc(targetRestart, x.restart)
 			return
 		}
+		if r.Header.Get("T-Parts") == "" {
+			writeTestResponse(c, seenRequest{r, ""}, http.StatusOK, "", "done")
+			continue
+		}
 		streamsEvents(3, 0)(seenRequest{r, ""}, c)
 	}
 }
@@ -146,7 +159,7 @@
 }
 
 // announceMortal announces the targets to all fixtures, now and after each restart.
-func announceMortal(t *testing.T, targets []*mortalTarget, fixtures ...*fixture) {
+func announceMortal(t *testing.T, service string, targets []*mortalTarget, fixtures ...*fixture) {
 	var mu sync.Mutex
 	sequence := uint64(0)
 	announce := func(x *mortalTarget, incarnation int64) {
@@ -155,7 +168,7 @@
 		sequence++
 		for _, f := range fixtures {
 			f.views.Merge(nil, []fleet.Announcement{{
-				ID: x.id, Service: "llm", Address: x.address, FailureDomain: "r-a", Incarnation: incarnation, Sequence: sequence, Slots: 4, State: fleet.Ready,
+				ID: x.id, Service: service, Address: x.address, FailureDomain: "r-a", Incarnation: incarnation, Sequence: sequence, Slots: 4, State: fleet.Ready,
 			}})
 			f.syncTargets()
 		}
@@ -194,7 +207,7 @@
 func TestDeadlyPromptPartStopsReachingTargets(t *testing.T) {
 	targets := newMortalTargets(t, 6)
 	f := newFixture(t, "llm")
-	announceMortal(t, targets, f)
+	announceMortal(t, "llm", targets, f)
 	served, sound := playDeadly(t, 24, f)
 	deadly, crashes := sumCounts(targets)
 	assert.Assert(t, deadly <= deadlyLimit, "%d requests with the deadly part reached targets, %d crashes", deadly, crashes)
