loads: an instance that has just started asks its peers for evidence of crashes

Callers could see a request or part that is quarantined reach targets through an instance that has just restarted. Cause: only instances that saw a crash or decided repeat the evidence, to two peers a second; with many instances a listed newcomer waits long, and one that is listed at its first question never asks. TestRestartedInstanceAsksForEvidence fails without the change (nothing after 3 s), 0.6 s with it.

--- a/internal/loads/evidence.go
+++ b/internal/loads/evidence.go
@@ -17,8 +17,10 @@
 	// for lost ones and inform instances that have restarted.
 	evidenceInterval = time.Second
 	evidenceFanout   = 2
-	// askInterval is the time between two questions of an instance that is not listed.
-	askInterval = 2 * time.Second
+	// askInterval is the time between two questions for evidence. An instance asks
+	// startAsks times after it has found peers, and while it is not listed.
+	askInterval = 500 * time.Millisecond
+	startAsks   = 4
 	// minEvidenceGap is the minimum time between two datagrams to all peers.
 	minEvidenceGap = 20 * time.Millisecond
 )
@@ -33,19 +35,23 @@
 }
 
 // shareEvidence tells all peers each change at once, and random ones the whole evidence
-// again and again until there is none. An instance that no control instance lists asks a
-// peer: nobody tells it anything, but callers may still use it.
+// again and again until there is none. An instance that has just started asks peers, since
+// most of those that know something do not repeat it. One that no control instance lists
+// goes on asking: nobody tells it anything, but callers may still use it.
 func (x *Exchange) shareEvidence(ctx context.Context) {
 	ask := time.NewTicker(askInterval)
 	defer ask.Stop()
 	var repeat <-chan time.Time
+	asked := 0
 	for {
 		peers := 0
 		select {
 		case <-ctx.Done():
 			return
 		case <-ask.C:
-			x.askForEvidence()
+			if x.mustAsk(asked) && x.askForEvidence() {
+				asked++
+			}
 			continue
 		case <-x.evidence.Changed():
 			peers = len(x.entries())
@@ -65,11 +71,17 @@
 	}
 }
 
-// askForEvidence asks a random peer for its evidence if this instance is not listed.
-func (x *Exchange) askForEvidence() {
-	if _, listed := x.entries()[x.self]; !listed {
-		x.sendEvidence(&api.FleetEvidence{WantsReply: true}, x.randomPeers(1))
-	}
+// mustAsk reports whether this instance may not be told what its peers know.
+func (x *Exchange) mustAsk(asked int) bool {
+	_, listed := x.entries()[x.self]
+	return asked < startAsks || !listed
+}
+
+// askForEvidence asks a random peer for its evidence. It returns false if there is none.
+func (x *Exchange) askForEvidence() bool {
+	peers := x.randomPeers(1)
+	x.sendEvidence(&api.FleetEvidence{WantsReply: true}, peers)
+	return len(peers) > 0
 }
 
 // randomPeers returns the addresses of at most n other entry instances.
--- a/internal/loads/evidence_test.go
+++ b/internal/loads/evidence_test.go
@@ -99,3 +99,16 @@
 		return poll.Continue("still quarantined")
 	}, poll.WithTimeout(3*time.Second))
 }
+
+// Guards against a listed instance that forgets at a restart, while its peers repeat nothing.
+func TestRestartedInstanceAsksForEvidence(t *testing.T) {
+	peers := map[string]fleet.Watcher{}
+	for _, name := range []string{"a", "b"} {
+		peers[name] = fleet.Watcher{Name: name, InternalAddress: freeUDPAddress(t)}
+	}
+	decider := quarantine.New(zerolog.Nop(), tally.NoopScope, time.Now)
+	crashThree([]*quarantine.Store{decider})
+	peer := startEvidence(t, "a", peers["a"].InternalAddress, peers)
+	peer.Merge(decider.Evidence())
+	awaitQuarantine(t, startEvidence(t, "b", peers["b"].InternalAddress, peers))
+}
