quarantine, forward: a request that crashes each target that begins to run it is found and refused

Cause: a lost attempt was the failure of one target. Requests without prompt parts were no suspects at all, and a repeat of one request proved nothing; the second attempt was placed before it was known that its target had crashed. Change: the identity of a request is one more shared feature of a suspect. Three crashes while it was in flight, without a success here or at a peer meanwhile, while the service served others: refused at all instances with 2012; attempts that wait at targets are withdrawn. Requests on the same three targets are told apart by the fourth crash. For 100 ms after a crash a suspect of three is held, since peers may not yet have told what they lost. Instances that served a suspect say so. A failed attempt waits up to 100 ms until it is known whether its target crashed, so that no retry is placed without it. Parts are not found guilty by one request's repeats. TestDeadlyPromptPartStopsReachingTargets unchanged.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -15,11 +15,18 @@
 // because it began to answer that request.
 const beginning = 500 * time.Millisecond
 
+// crashCheckWait bounds how long a failed attempt waits until it is known whether its
+// target crashed. A further attempt, here or at the instance to which the caller turns, is
+// then placed with this crash known.
+const crashCheckWait = 100 * time.Millisecond
+
+// features returns what quarantines are matched with: the identity of the request and the
+// parts of its prompt.
+func (q *request) features() []string { return append([]string{q.identity}, q.parts...) }
+
 // recordServed records that a target could bear the request.
 func (f *Forwarder) recordServed(q *request) {
-	if len(q.parts) > 0 {
-		f.config.Quarantine.RecordServed(q.service.Name, q.parts)
-	}
+	f.config.Quarantine.RecordServed(q.service.Name, q.features())
 }
 
 // legStarted reports whether the target of the current leg has been answering for longer
@@ -41,12 +48,14 @@
 // response, or that cannot be reached, does not.
 func (f *Forwarder) checkCrash(q *request, o *outcome) {
 	e := o.lease.endpoint
-	if len(q.parts) == 0 || o.started || o.provenNotRun() || !isConnectionLost(o.err) || f.table.isDraining(e) {
+	if o.started || o.provenNotRun() || !isConnectionLost(o.err) || f.table.isDraining(e) {
 		return
 	}
 	lostAt := time.Now()
-	suspect := quarantine.NewSuspect(q.parts, o.lease.reservedAt)
+	suspect := quarantine.NewSuspect(q.features(), o.lease.reservedAt)
+	checked := make(chan struct{})
 	go func() {
+		defer close(checked)
 		conn, err := netconn.Dial(context.Background(), e.address)
 		if err == nil {
 			_ = conn.Close() // an unused connection: nothing is lost
@@ -56,6 +65,12 @@
 			f.config.Quarantine.RecordCrash(quarantine.CrashID{Target: e.id, Incarnation: e.incarnation}, q.service.Name, lostAt, suspect)
 		}
 	}()
+	timeout := time.NewTimer(crashCheckWait)
+	defer timeout.Stop()
+	select {
+	case <-checked:
+	case <-timeout.C:
+	}
 }
 
 // isConnectionLost reports whether the target closed or reset the connection.
--- a/internal/forward/crashing_request_test.go
+++ b/internal/forward/crashing_request_test.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/quarantine"
 )
 
 const (
@@ -146,3 +149,23 @@
 		assert.Equal(t, p.served[kind], p.sound[kind], "%s: sound requests are served beside the crashing one", kind)
 	}
 }
+
+// Guards against a caller that is told nothing useful when its request is refused.
+func TestRepeatOfCrashingRequestIsRefusedAtOnce(t *testing.T) {
+	x := newFakeTarget(t, "i1", respondsWith(http.StatusOK, "done"))
+	f := newFixture(t, "core", x)
+	resp, _, err := f.call(t, "POST", "/read/x", "pay")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	route, account := &testManifest().Routes[0], &testManifest().Accounts[0]
+	identity := identityOf(&request{method: "POST", uri: "/read/deadly", route: route, account: account, body: []byte(deadlyBody)})
+	for n := range 3 {
+		f.config.Quarantine.RecordCrash(quarantine.CrashID{Target: fmt.Sprint("x", n)}, "core", time.Now(), quarantine.NewSuspect([]string{identity}, time.Now()))
+	}
+	f.config.Quarantine.RecordServed("core", []string{quarantine.IdentityPrefix + "other"})
+	resp, body, err := f.call(t, "POST", "/read/deadly", deadlyBody)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(body, "2012") && resp.Header.Get("Retry-After") != "", body)
+	assert.Equal(t, len(x.seen()), 1)
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -184,6 +184,8 @@
 	deadline time.Time // deadline of the caller or of the route, whichever is earlier
 	tokens   tokenUse
 	parts    []string // IDs of the prompt's parts; the last one is the request's own
+	// identity is what all repeats of the request have in common; known once the body is read.
+	identity string
 	priority int
 }
 
@@ -245,6 +247,7 @@
 		limit = maxBufferedBody
 	}
 	release, err := f.readBody(w, q, r, limit)
+	q.identity = identityOf(q)
 	return q, release, err
 }
 
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -12,9 +12,9 @@
 // that no caller can send a request with the identity of another caller's.
 const identityBytes = 16
 
-// identity returns what all repeats of a request have in common: its route's host,
-// method, path, client account and body.
-func (q *request) identity() string {
+// identityOf returns what all repeats of a request have in common: a hash of its route's
+// host, method, path, client account and body.
+func identityOf(q *request) string {
 	account := ""
 	if q.account != nil {
 		account = q.account.Name
--- a/internal/forward/identity_test.go
+++ b/internal/forward/identity_test.go
@@ -14,7 +14,7 @@
 	q := request{id: "1", method: "POST", uri: "/read/x?y=1", account: a, body: []byte("pay"), route: route}
 	repeat := q
 	repeat.id, repeat.body = "2", []byte("pay")
-	assert.Equal(t, q.identity(), repeat.identity())
+	assert.Equal(t, identityOf(&q), identityOf(&repeat))
 	for name, change := range map[string]func(x *request){
 		"method":         func(x *request) { x.method = "PUT" },
 		"path":           func(x *request) { x.uri = "/read/x?y=2" },
@@ -25,6 +25,6 @@
 	} {
 		other := q
 		change(&other)
-		assert.Assert(t, q.identity() != other.identity(), name)
+		assert.Assert(t, identityOf(&q) != identityOf(&other), name)
 	}
 }
--- a/internal/forward/pending.go
+++ b/internal/forward/pending.go
@@ -10,8 +10,8 @@
 )
 
 // errWithdrawn means that the request was withdrawn from its target before an answer
-// began, because its parts were quarantined.
-var errWithdrawn = fmt.Errorf("withdrawn from the target: parts of the prompt crash targets: %w", context.Canceled)
+// began, because it or its parts were quarantined.
+var errWithdrawn = fmt.Errorf("withdrawn from the target: such requests crash targets: %w", context.Canceled)
 
 // pendingAttempts holds the attempts that targets have not begun to answer.
 type pendingAttempts struct {
@@ -20,19 +20,16 @@
 }
 
 type pendingAttempt struct {
-	parts  []string
-	cancel context.CancelCauseFunc
+	features []string
+	cancel   context.CancelCauseFunc
 }
 
 // begin returns a context for one attempt that ends when the request is withdrawn. The
 // returned function must be called when the answer begins or the attempt ends; it leaves
 // the context as it is.
 func (p *pendingAttempts) begin(ctx context.Context, q *request) (context.Context, func()) {
-	if len(q.parts) == 0 {
-		return ctx, func() {}
-	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &pendingAttempt{parts: q.parts, cancel: cancel}
+	a := &pendingAttempt{features: q.features(), cancel: cancel}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.attempts == nil {
@@ -51,7 +48,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a := range p.attempts {
-		if quarantine.ContainsAll(a.parts, parts) {
+		if quarantine.ContainsAll(a.features, parts) {
 			a.cancel(errWithdrawn)
 		}
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -193,7 +193,7 @@
 	}
 	f.config.Metrics.Counter("forward.attempt_failed").Inc(1)
 	f.config.Logger.Info().Str("request", q.id).Str("target", e.id).Int("status", o.status).Bool("not_run", o.provenNotRun()).
-		Strs("parts", q.parts).Str("identity", q.identity()).Int("events", o.events).Err(o.err).Dur("after", time.Since(q.arrived)).Msg("attempt failed")
+		Strs("parts", q.parts).Str("identity", q.identity).Int("events", o.events).Err(o.err).Dur("after", time.Since(q.arrived)).Msg("attempt failed")
 }
 
 // mayRetry decides whether another target is tried after a failed attempt. An
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -7,7 +7,8 @@
 )
 
 // Conditions for a quarantine. They answer a load of requests that have one part in
-// common, at any instance, each of which crashes the target that begins to answer it.
+// common, or are repeats of one request, at any instance, each of which crashes the
+// target that begins to answer it.
 const (
 	// minCrashes is how many crashes, each by a request that was sent after the one
 	// before, a part must be suspect of. Targets that crash together count once.
@@ -18,6 +19,12 @@
 	certainCrashes = 5
 	// minRequests is how many requests, told apart by their own parts, must be suspects.
 	minRequests = 2
+	// certainRepeats is how many crashes suffice if several requests are equally suspect.
+	// Others that were repeated together with the crashing one are rarely in a fourth.
+	certainRepeats = 4
+	// verdictDelay is the time after a crash in which other instances tell which requests
+	// they lost with the target.
+	verdictDelay = 100 * time.Millisecond
 	// cleanBefore is how long before its first crash a part's last success still counts.
 	cleanBefore = 2 * time.Second
 )
@@ -26,6 +33,7 @@
 type candidate struct {
 	parts   []string // sorted
 	crashes int
+	in      []appearance
 }
 
 // decide quarantines the sets of parts that the known crashes prove. The caller holds
@@ -34,7 +42,7 @@
 	s.decidedAt = now
 	s.expire(now)
 	for {
-		found := s.strongest()
+		found := s.strongest(now)
 		if len(found) == 0 {
 			return
 		}
@@ -44,11 +52,20 @@
 	}
 }
 
-// strongest returns the sets that are suspect of the most crashes, if these suffice.
-// Several sets with the same number are returned only if the number is certainCrashes
-// or more; otherwise the next crash will tell.
-func (s *Store) strongest() []candidate {
-	index := indexParts(s.openCrashes())
+// strongest returns the sets of parts or, if there are none, the identities that are
+// suspect of the most crashes, if these suffice.
+func (s *Store) strongest(now time.Time) []candidate {
+	if parts := s.strongestParts(); len(parts) > 0 {
+		return parts
+	}
+	return s.strongestIdentities(now)
+}
+
+// strongestParts returns the sets of parts that are suspect of the most crashes, if these
+// suffice. Several sets with the same number are returned only if the number is
+// certainCrashes or more; otherwise the next crash will tell.
+func (s *Store) strongestParts() []candidate {
+	index := indexParts(s.openCrashes(s.explainedByParts), func(p string) bool { return !isIdentity(p) })
 	var best []candidate
 	for _, p := range slices.Sorted(maps.Keys(index)) {
 		c, ok := s.examine(p, index[p])
@@ -68,11 +85,85 @@
 	return best
 }
 
-// openCrashes returns the crashes that no quarantine explains.
-func (s *Store) openCrashes() []*crash {
+// strongestIdentities returns the identities that are suspect of the most crashes, if
+// these suffice and a quarantine does not explain them all. Those that are suspect of the
+// same crashes are returned only if these are certainRepeats or more.
+func (s *Store) strongestIdentities(now time.Time) []candidate {
+	index := indexParts(s.openCrashes(s.explainedByParts), isIdentity)
+	var best []candidate
+	for _, p := range slices.Sorted(maps.Keys(index)) {
+		if !s.proven(p, index[p]) {
+			continue
+		}
+		c := candidate{parts: []string{p}, crashes: len(index[p]), in: index[p]}
+		switch {
+		case len(best) == 0 || c.crashes > best[0].crashes:
+			best = []candidate{c}
+		case c.crashes == best[0].crashes:
+			best = append(best, c)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(best), func(c candidate) bool {
+		return c.isRecent(now) || (c.crashes < certainRepeats && slices.ContainsFunc(best, c.rivals))
+	})
+}
+
+// proven reports whether the crashes suffice to quarantine an identity. Unlike requests
+// with a common part, repeats may have been sent to several targets at once.
+func (s *Store) proven(identity string, in []appearance) bool {
+	if len(in) < minCrashes {
+		return false
+	}
+	first := in[0]
+	open := slices.ContainsFunc(in, func(a appearance) bool { return !s.explained(a.crash) })
+	return open && !s.cleanAfter(identity, first.at.Add(-cleanBefore)) && s.cleanAfter(serviceKey(first.service), first.at)
+}
+
+// undecided returns until when a request is refused because its targets have just
+// crashed, and other instances may not yet have told what else was on them.
+func (s *Store) undecided(features []string, now time.Time) (until time.Time, ok bool) {
+	recent := slices.ContainsFunc(s.crashes, func(c *crash) bool { return now.Sub(c.at) < verdictDelay })
+	if !recent || len(features) == 0 || !isIdentity(features[0]) {
+		return time.Time{}, false
+	}
+	var first, last *crash
+	n := 0
+	for _, c := range s.crashes {
+		if !slices.ContainsFunc(c.suspects, func(x Suspect) bool { return slices.Contains(x.Shared, features[0]) }) {
+			continue
+		}
+		n++
+		if first == nil || c.at.Before(first.at) {
+			first = c
+		}
+		if last == nil || c.at.After(last.at) {
+			last = c
+		}
+	}
+	if n < minCrashes || s.cleanAfter(features[0], first.at.Add(-cleanBefore)) {
+		return time.Time{}, false
+	}
+	until = last.at.Add(verdictDelay)
+	return until, now.Before(until)
+}
+
+// isRecent reports whether other instances may not yet have told of the last crash.
+func (c candidate) isRecent(now time.Time) bool {
+	return now.Sub(c.in[len(c.in)-1].at) < verdictDelay
+}
+
+// rivals reports whether another candidate is suspect of a crash that c is suspect of.
+func (c candidate) rivals(other candidate) bool {
+	return !slices.Equal(c.parts, other.parts) && slices.ContainsFunc(c.in, func(a appearance) bool {
+		return slices.ContainsFunc(other.in, func(b appearance) bool { return a.crash == b.crash })
+	})
+}
+
+// openCrashes returns the crashes that are not explained.
+func (s *Store) openCrashes(explained func(*crash) bool) []*crash {
 	var open []*crash
 	for _, c := range s.crashes {
-		if !s.explained(c) {
+		if !explained(c) {
 			open = append(open, c)
 		}
 	}
@@ -86,13 +177,16 @@
 	suspects []Suspect
 }
 
-// indexParts returns, for each shared part, the crashes that it is suspect of, in their
-// order.
-func indexParts(crashes []*crash) map[string][]appearance {
+// indexParts returns, for each shared part that is wanted, the crashes that it is suspect
+// of, in their order.
+func indexParts(crashes []*crash, wanted func(part string) bool) map[string][]appearance {
 	index := map[string][]appearance{}
 	for _, c := range crashes {
 		for _, x := range c.suspects {
 			for _, p := range x.Shared {
+				if !wanted(p) {
+					continue
+				}
 				list := index[p]
 				if n := len(list); n > 0 && list[n-1].crash == c {
 					list[n-1].suspects = append(list[n-1].suspects, x)
@@ -118,6 +212,9 @@
 	if chain < needed || countOwners(appearances) < minRequests {
 		return candidate{}, false
 	}
+	if s.causedByOneRequest(appearances) {
+		return candidate{}, false
+	}
 	if s.cleanAfter(p, since) || !s.cleanAfter(serviceKey(first.service), first.at) {
 		return candidate{}, false
 	}
@@ -126,6 +223,39 @@
 	return candidate{parts: common, crashes: chain}, true
 }
 
+// causedByOneRequest reports whether repeats of one request may be the cause of all the
+// crashes, or of all but one if that request is quarantined.
+func (s *Store) causedByOneRequest(appearances []appearance) bool {
+	for r, in := range countRequests(appearances) {
+		others := len(appearances) - in
+		if others == 0 || (others < minCrashesToNarrow && s.isQuarantined(r.identity)) {
+			return true
+		}
+	}
+	return false
+}
+
+// requestKey is what repeats of one request have in common.
+type requestKey struct{ identity, own string }
+
+// countRequests returns in how many of the appearances each request is. Requests without
+// an identity are left out.
+func countRequests(appearances []appearance) map[requestKey]int {
+	count := map[requestKey]int{}
+	for _, a := range appearances {
+		seen := map[requestKey]bool{}
+		for _, x := range a.suspects {
+			if n := slices.IndexFunc(x.Shared, isIdentity); n >= 0 {
+				seen[requestKey{x.Shared[n], x.Own}] = true
+			}
+		}
+		for r := range seen {
+			count[r]++
+		}
+	}
+	return count
+}
+
 // chainLength returns how many of the crashes follow each other: each by a request that
 // was sent after the crash before it.
 func chainLength(appearances []appearance) int {
@@ -164,6 +294,6 @@
 			}
 		}
 	}
-	maps.DeleteFunc(seenIn, func(_ string, n int) bool { return n < len(appearances) })
+	maps.DeleteFunc(seenIn, func(p string, n int) bool { return n < len(appearances) || isIdentity(p) })
 	return slices.Sorted(maps.Keys(seenIn))
 }
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -43,7 +43,7 @@
 	}
 	left := maxEvidenceBytes - proto.Size(m)
 	for _, c := range slices.Backward(s.crashes) {
-		if now.Sub(c.at) > sentCrashAge || s.explained(c) {
+		if now.Sub(c.at) > sentCrashAge || s.explainedByParts(c) {
 			continue
 		}
 		x := encodeCrash(c, now)
@@ -56,7 +56,7 @@
 		return nil
 	}
 	for _, p := range partsOf(m) {
-		if at, ok := s.clean.Peek(p); ok {
+		if at, ok := s.cleanTimes(p).Peek(p); ok {
 			m.Served = append(m.Served, &api.FleetServedPart{Part: p, AgeMs: age.Of(at, now)})
 		}
 	}
@@ -112,20 +112,45 @@
 	for _, p := range m.GetServed() {
 		s.mergeServed(p, now)
 	}
+	clears := false
 	for _, c := range m.GetCrashes() {
 		s.mergeCrash(c, now)
+		clears = clears || s.clearsSuspect(c, m.GetServed(), now)
 	}
 	for _, q := range m.GetQuarantines() {
 		s.mergeRecord(q, now)
 	}
 	s.correct(now)
 	s.decide(now)
+	if clears {
+		s.notifyChanged()
+	}
+}
+
+// clearsSuspect reports whether a request that is suspect of the crash was served here,
+// which the sender of the evidence does not know.
+func (s *Store) clearsSuspect(m *api.FleetCrash, served []*api.FleetServedPart, now time.Time) bool {
+	since := age.Time(now, m.GetAgeMs()).Add(-cleanBefore)
+	for _, x := range m.GetSuspects() {
+		for _, p := range x.GetShared() {
+			if !isIdentity(p) || !s.cleanAfter(p, since) {
+				continue
+			}
+			known := slices.ContainsFunc(served, func(o *api.FleetServedPart) bool {
+				return o.GetPart() == p && !s.cleanAfter(p, age.Time(now, o.GetAgeMs()).Add(mergeTolerance))
+			})
+			if !known {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func (s *Store) mergeServed(m *api.FleetServedPart, now time.Time) {
-	at := age.Time(now, m.GetAgeMs())
-	if known, ok := s.clean.Peek(m.GetPart()); !ok || at.After(known) {
-		s.clean.Add(m.GetPart(), at)
+	at, times := age.Time(now, m.GetAgeMs()), s.cleanTimes(m.GetPart())
+	if known, ok := times.Peek(m.GetPart()); !ok || at.After(known) {
+		times.Add(m.GetPart(), at)
 	}
 }
 
@@ -166,7 +191,7 @@
 	}}
 	if r.active(now) {
 		s.removeSupersets(parts)
-		s.log.Warn().Strs("parts", parts).Int("times", r.Times).Msg("prompt parts quarantined by a peer")
+		s.log.Warn().Strs("parts", parts).Int("times", r.Times).Msg("quarantined by a peer")
 	}
 	s.put(r)
 	s.updateGauge(now)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,11 +1,13 @@
-// Package quarantine finds the parts of prompts that crash targets, and keeps
-// requests with such parts away from them.
+// Package quarantine finds the parts of prompts and the whole requests that crash
+// targets, and keeps requests with such parts, and repeats of such requests, away from
+// them.
 //
 // A request is a suspect of a crash if the target had not yet answered it, or had
 // just begun to. A part is clean once a request with it was served. A set of parts is
 // quarantined if it is in suspects of several crashes, one sent after the other, if
 // no part of it has been clean meanwhile, and if the same service served other
-// requests. All instances exchange their crashes and quarantines, so that each one
+// requests. The identity of a request, which only its repeats have in common, counts as
+// one more part. All instances exchange their crashes and quarantines, so that each one
 // knows what any of them has seen.
 //
 // Invariant: a quarantine holds only while no request with all of its parts is
@@ -33,8 +35,10 @@
 	maxSuspects = 32
 	// maxCleanParts bounds the parts whose last success is known. Those that were served
 	// least recently are forgotten first.
-	maxCleanParts  = 4096
-	maxQuarantines = 256
+	maxCleanParts = 4096
+	// maxCleanIdentities is the same for identities, of which almost every request has a new one.
+	maxCleanIdentities = 4096
+	maxQuarantines     = 256
 	// decideInterval is the minimum time between two decisions without a further crash.
 	decideInterval = 100 * time.Millisecond
 )
@@ -51,14 +55,16 @@
 
 // Suspect is a request that a target was beginning to answer when it crashed.
 type Suspect struct {
-	// Shared holds the parts of the prompt that other requests may have too.
+	// Shared holds the identity of the request and the parts of its prompt that other
+	// requests may have too.
 	Shared []string
 	// Own is the part that belongs to the request or to its session.
 	Own    string
 	SentAt time.Time
 }
 
-// NewSuspect returns the suspect for a request with the given parts, in their order.
+// NewSuspect returns the suspect for a request with the given parts, in their order. The
+// identity, if known, comes first.
 func NewSuspect(parts []string, sentAt time.Time) Suspect {
 	shared, own := splitParts(parts)
 	return Suspect{Shared: shared, Own: own, SentAt: sentAt}
@@ -71,6 +77,9 @@
 		return nil, ""
 	}
 	last := len(parts) - 1
+	if isIdentity(parts[last]) {
+		return parts, ""
+	}
 	return parts[:last], parts[last]
 }
 
@@ -89,22 +98,29 @@
 	metrics tally.Scope
 	now     func() time.Time
 
-	mu          sync.Mutex
-	crashes     []*crash // in the order in which they became known
-	clean       *lru.LRU[string, time.Time]
-	quarantines map[string]*record // by key
-	decidedAt   time.Time
-	onBegin     func(parts []string)
-	changed     chan struct{}
+	mu      sync.Mutex
+	crashes []*crash                    // in the order in which they became known
+	clean   *lru.LRU[string, time.Time] // last success by part or service
+	// cleanIdentities holds the last success by identity.
+	cleanIdentities *lru.LRU[string, time.Time]
+	quarantines     map[string]*record // by key
+	decidedAt       time.Time
+	onBegin         func(parts []string)
+	changed         chan struct{}
 }
 
 // New returns an empty Store. now returns the current time.
 func New(log zerolog.Logger, metrics tally.Scope, now func() time.Time) *Store {
-	clean, err := lru.NewLRU[string, time.Time](maxCleanParts, nil)
+	return &Store{log: log, metrics: metrics, now: now, clean: newTimes(maxCleanParts), cleanIdentities: newTimes(maxCleanIdentities), quarantines: map[string]*record{}, changed: make(chan struct{}, 1)}
+}
+
+// newTimes returns a map that forgets the entries that were set least recently.
+func newTimes(size int) *lru.LRU[string, time.Time] {
+	times, err := lru.NewLRU[string, time.Time](size, nil)
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
-	return &Store{log: log, metrics: metrics, now: now, clean: clean, quarantines: map[string]*record{}, changed: make(chan struct{}, 1)}
+	return times
 }
 
 // OnBegin sets a function that is called, in a goroutine of its own, with the parts of
@@ -168,9 +184,14 @@
 	s.clean.Add(serviceKey(service), now)
 	shared, _ := splitParts(parts)
 	for _, p := range shared {
-		s.clean.Add(p, now)
+		s.cleanTimes(p).Add(p, now)
 	}
 	s.correct(now)
+	s.decideIfDue(now)
+}
+
+// decideIfDue decides unless that was done within decideInterval. The caller holds s.mu.
+func (s *Store) decideIfDue(now time.Time) {
 	if len(s.crashes) >= minCrashesToNarrow && now.Sub(s.decidedAt) >= decideInterval {
 		s.decide(now)
 	}
@@ -180,25 +201,41 @@
 // parts contain no colon.
 func serviceKey(service string) string { return "service:" + service }
 
+// isIdentity reports whether a part is the identity of a request.
+func isIdentity(part string) bool { return strings.HasPrefix(part, IdentityPrefix) }
+
+// cleanTimes returns the map that holds a part's last success.
+func (s *Store) cleanTimes(part string) *lru.LRU[string, time.Time] {
+	if isIdentity(part) {
+		return s.cleanIdentities
+	}
+	return s.clean
+}
+
 // cleanAfter reports whether a request with the part was served after t.
 func (s *Store) cleanAfter(part string, t time.Time) bool {
-	at, ok := s.clean.Peek(part)
+	at, ok := s.cleanTimes(part).Peek(part)
 	return ok && at.After(t)
 }
 
-// Match returns the quarantine that a request with the parts falls under.
+// Match returns the quarantine that a request with the parts falls under. The identity, if
+// known, comes first.
 func (s *Store) Match(parts []string) (Quarantine, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.quarantines) == 0 {
+	if len(s.quarantines) == 0 && len(s.crashes) == 0 {
 		return Quarantine{}, false
 	}
 	now := s.now()
+	s.decideIfDue(now)
 	for _, r := range s.quarantines {
 		if r.active(now) && ContainsAll(parts, r.Parts) {
 			return r.Quarantine, true
 		}
 	}
+	if until, ok := s.undecided(parts, now); ok {
+		return Quarantine{Parts: parts[:1], Since: now, Until: until}, true
+	}
 	return Quarantine{}, false
 }
 
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -13,7 +13,8 @@
 	maxHold   = 4 * time.Hour
 )
 
-// Quarantine is a set of parts that crash targets when one request has all of them.
+// Quarantine is a set of parts that crash targets when one request has all of them, or
+// the identity of one request.
 type Quarantine struct {
 	Parts []string  `json:"parts"` // sorted
 	Since time.Time `json:"since"`
@@ -22,6 +23,9 @@
 	Times int `json:"times"`
 }
 
+// IsRequest reports whether repeats of one request are quarantined, not parts of prompts.
+func (q Quarantine) IsRequest() bool { return len(q.Parts) == 1 && isIdentity(q.Parts[0]) }
+
 // record is a quarantine with its state. After its end it is kept as long as it held:
 // one crash then suffices to quarantine its parts again.
 type record struct {
@@ -46,8 +50,18 @@
 }
 
 func (s *Store) explained(c *crash) bool {
+	return s.explainedBy(c, func(*record) bool { return true })
+}
+
+// explainedByParts is explained without the quarantines of whole requests: their crashes
+// are still evidence against the parts that the request has in common with others.
+func (s *Store) explainedByParts(c *crash) bool {
+	return s.explainedBy(c, func(r *record) bool { return !r.IsRequest() })
+}
+
+func (s *Store) explainedBy(c *crash, counts func(*record) bool) bool {
 	for _, r := range s.quarantines {
-		if c.at.Before(r.end()) && r.explains(c) {
+		if counts(r) && c.at.Before(r.end()) && r.explains(c) {
 			return true
 		}
 	}
@@ -72,7 +86,7 @@
 	s.removeSupersets(c.parts)
 	s.put(&record{Quarantine: Quarantine{Parts: c.parts, Since: now, Until: now.Add(hold(times)), Times: times}, changedAt: now})
 	s.metrics.Counter("quarantine.begun").Inc(1)
-	s.log.Error().Strs("parts", c.parts).Int("crashes", c.crashes).Int("times", times).Dur("hold", hold(times)).Msg("prompt parts quarantined")
+	s.log.Error().Strs("parts", c.parts).Int("crashes", c.crashes).Int("times", times).Dur("hold", hold(times)).Msg("quarantined")
 	s.updateGauge(now)
 	s.notifyChanged()
 }
@@ -135,7 +149,7 @@
 	}
 	r.Parts, r.changedAt = parts, now
 	s.put(r)
-	s.log.Warn().Strs("parts", parts).Msg("prompt parts quarantined without those that were served")
+	s.log.Warn().Strs("parts", parts).Msg("quarantined without the parts that were served")
 	s.notifyChanged()
 }
 
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -50,6 +50,7 @@
 	RetryBudget        Code = 2009
 	ControlUnavailable Code = 2010
 	PromptQuarantined  Code = 2011
+	RequestQuarantined Code = 2012
 )
 
 // Execution codes (3xxx): the request may have run.
@@ -129,6 +130,7 @@
 	RetryBudget:           {"RETRY_BUDGET_SPENT", http.StatusServiceUnavailable},
 	ControlUnavailable:    {"CONTROL_UNAVAILABLE", http.StatusServiceUnavailable},
 	PromptQuarantined:     {"PROMPT_QUARANTINED", http.StatusServiceUnavailable},
+	RequestQuarantined:    {"REQUEST_QUARANTINED", http.StatusServiceUnavailable},
 	TargetUnreachable:     {"TARGET_UNREACHABLE", http.StatusBadGateway},
 	GenerationLost:        {"GENERATION_LOST", http.StatusBadGateway},
 	OutcomeUnknown:        {"OUTCOME_UNKNOWN", http.StatusGatewayTimeout},
