fleet, forward: instances know and log the software version of targets

Change: announcements carry it to all instances; lines target and placed name it, placed also the first attempt of a stream that a caller takes up. Nothing decides by it yet.

--- a/internal/fleet/announce.go
+++ b/internal/fleet/announce.go
@@ -116,7 +116,7 @@
 func announcementToProto(a *Announcement) *api.FleetAnnouncement {
 	return &api.FleetAnnouncement{
 		Id: a.ID, Service: a.Service, Address: a.Address, FailureDomain: a.FailureDomain, Born: a.Incarnation,
-		Sequence: a.Sequence, Slots: uint32(a.Slots), State: statesToProto[a.State], ColdMs: uint32(a.ColdRemaining.Milliseconds()),
+		Sequence: a.Sequence, Slots: uint32(a.Slots), State: statesToProto[a.State], ColdMs: uint32(a.ColdRemaining.Milliseconds()), Version: a.Version,
 	}
 }
 
@@ -124,6 +124,6 @@
 	return Announcement{
 		ID: p.GetId(), Service: p.GetService(), Address: p.GetAddress(), FailureDomain: p.GetFailureDomain(), Incarnation: p.GetBorn(),
 		Sequence: p.GetSequence(), Slots: int(p.GetSlots()), State: statesFromProto[p.GetState()],
-		ColdRemaining: time.Duration(p.GetColdMs()) * time.Millisecond,
+		ColdRemaining: time.Duration(p.GetColdMs()) * time.Millisecond, Version: p.GetVersion(),
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,7 +35,10 @@
 	// Sequence grows with each announcement of an incarnation.
 	Sequence uint64
 	Slots    int
-	State    TargetState
+	// Version is the version of the target's software; empty if it names none. A stream is
+	// continued only by targets of the version that began it.
+	Version string
+	State   TargetState
 	// ColdRemaining is the time until the target is warm.
 	ColdRemaining time.Duration
 }
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -25,7 +25,7 @@
 // testHeaders are header names that only these tests use.
 var testHeaders = Headers{
 	RequestID: "T-Id", Deadline: "T-Deadline", AccountKey: "T-Key", Account: "T-Account", ExpectTarget: "T-Expect", NotRun: "T-Not-Run",
-	Stamp: "T-Stamp", Limit: "T-Limit", Priority: "T-Priority", Tokens: "T-Tokens", LengthHint: "T-Hint", PromptParts: "T-Parts", CopyFrom: "T-Copy", LastEventID: "Last-Event-Id",
+	Stamp: "T-Stamp", Limit: "T-Limit", Priority: "T-Priority", Tokens: "T-Tokens", LengthHint: "T-Hint", PromptParts: "T-Parts", CopyFrom: "T-Copy", LastEventID: "Last-Event-Id", Resumes: "T-Resumes",
 	Reserved: []string{"T-Hold"},
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -63,7 +63,8 @@
 	LengthHint   string // caller's estimate of the output tokens
 	PromptParts  string // parts of the prompt, which requests may share, see parsePromptParts
 	CopyFrom     string // location of a copy of a run's memory: engine address and copy handle
-	LastEventID  string
+	LastEventID  string // newest event of the stream that the caller or this system continues
+	Resumes      string // ID of the caller attempt that brought the first event of the stream that the caller continues
 	// Reserved lists headers that only this system may set. Callers' values are removed.
 	Reserved []string
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -148,11 +148,14 @@
 // logPlaced logs the chosen target with the load that the choice was based on.
 func (r *streamSession) logPlaced(l *lease, resume *resumePoint) {
 	total, age := r.f.table.loadAndAge(l.endpoint)
-	line := r.f.config.Logger.Info().Str("request", r.q.id).Str("route", r.q.route.Name).Str("target", l.endpoint.id).
+	line := r.f.config.Logger.Info().Str("request", r.q.id).Str("route", r.q.route.Name).Str("target", l.endpoint.id).Str("version", l.endpoint.version).
 		Int("requests", total.Requests).Int("tokens", total.Tokens).Dur("announced", age)
 	if resume != nil {
 		line = line.Int64("last_event", resume.lastEvent).Str("copy", resume.copyFrom)
 	}
+	if first := r.q.header.Get(r.f.config.Headers.Resumes); first != "" {
+		line = line.Str("resumes", first).Str("caller_has", r.q.header.Get(r.f.config.Headers.LastEventID))
+	}
 	line.Msg("placed")
 }
 
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -41,6 +41,7 @@
 	failureDomain string // failure domain in which the target runs
 	region        string
 	service       string
+	version       string // version of the target's software
 	// drainStarted is closed once this incarnation gets no new requests any more.
 	drainStarted chan struct{}
 
@@ -106,7 +107,7 @@
 		if e == nil {
 			e = &endpoint{
 				id: id, incarnation: target.Incarnation, address: target.Address, failureDomain: target.FailureDomain,
-				region: t.regions[target.FailureDomain], service: target.Service, drainStarted: make(chan struct{}),
+				region: t.regions[target.FailureDomain], service: target.Service, version: target.Version, drainStarted: make(chan struct{}),
 				otherLoads: map[string]Load{}, moveSlot: make(chan struct{}, 1), createdAt: now,
 			}
 			t.endpoints[id] = e
@@ -317,7 +318,7 @@
 	defer t.mu.Unlock()
 	var out []endpointStatus
 	for _, e := range t.changedEndpoints {
-		out = append(out, endpointStatus{id: e.id, service: e.service, failureDomain: e.failureDomain, usable: e.usable, state: e.target.State, sequence: e.target.Sequence})
+		out = append(out, endpointStatus{id: e.id, service: e.service, version: e.version, failureDomain: e.failureDomain, usable: e.usable, state: e.target.State, sequence: e.target.Sequence})
 	}
 	t.changedEndpoints = nil
 	return out
@@ -325,15 +326,15 @@
 
 // endpointStatus is the part of an endpoint that is logged when it changes.
 type endpointStatus struct {
-	id, service, failureDomain string
-	usable                     bool
-	state                      fleet.TargetState
-	sequence                   uint64
+	id, service, version, failureDomain string
+	usable                              bool
+	state                               fleet.TargetState
+	sequence                            uint64
 }
 
 func (f *Forwarder) logTargets() {
 	for _, n := range f.table.takeChangedEndpoints() {
-		f.config.Logger.Info().Str("target", n.id).Str("service", n.service).Str("failure_domain", n.failureDomain).
+		f.config.Logger.Info().Str("target", n.id).Str("service", n.service).Str("version", n.version).Str("failure_domain", n.failureDomain).
 			Bool("usable", n.usable).Int("state", int(n.state)).Uint64("sequence", n.sequence).Msg("target")
 	}
 }
