forward: failing tests of streams that are joined from two software versions

A move on notice, a continuation inside the answer, a take-up at the instance that served the first part, and one at an instance that knows nothing. All four fail: the second part comes from the other version.

--- /dev/null
+++ b/internal/forward/version_test.go
@@ -0,0 +1,146 @@
+package forward
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivetrack/endivetrack/internal/fleet"
+)
+
+// announceVersion announces an engine of a software version.
+func (f *fixture) announceVersion(t *testing.T, x *fakeTarget, version string, state fleet.TargetState) {
+	t.Helper()
+	f.seq++
+	f.views.Merge(nil, []fleet.Announcement{{
+		ID: x.id, Service: "llm", Address: x.address, FailureDomain: "r-a", Incarnation: 1, Sequence: f.seq, Slots: 4, State: state, Version: version,
+	}})
+	f.syncTargets()
+}
+
+// Guards against a move that joins the events of two versions.
+func TestMovedRunStaysAtItsVersion(t *testing.T) {
+	m := newMoveFixture(t, nil)
+	other := newFakeTarget(t, "other", streamsEvents(9, 0))
+	move := m.engines.move
+	m.engines.move = func(engine, id, to string, last bool) (Copy, error) {
+		if to == other.address {
+			if last {
+				close(m.stopRequested)
+			}
+			return Copy{Handle: "h", Events: 6}, nil
+		}
+		return move(engine, id, to, last)
+	}
+	m.announceVersion(t, m.x, "v1", fleet.Ready)
+	go func() {
+		for len(m.x.seen()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		m.announceVersion(t, other, "v2", fleet.Ready)
+		m.announceVersion(t, m.x, "v1", fleet.Draining)
+		time.Sleep(100 * time.Millisecond)
+		m.announceVersion(t, m.y, "v1", fleet.Ready)
+	}()
+	_, body, err := m.call(t, "POST", "/long/", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, body, events(1, 9))
+	assert.Equal(t, len(other.seen()), 0)
+	assert.Equal(t, len(m.y.seen()), 1)
+}
+
+// cutsWhen returns a function that sends three events, waits until ready is closed and
+// breaks off within the fourth.
+func cutsWhen(ready <-chan struct{}) func(seenRequest, net.Conn) {
+	return func(r seenRequest, c net.Conn) {
+		writeStreamHead(c, r, "s")
+		writeChunk(c, events(1, 3)+event(4)[:4])
+		<-ready
+		_ = c.Close()
+	}
+}
+
+// Guards against an answer that is continued by another version, and against one that is
+// given up although a target of its version is left.
+func TestStreamIsContinuedByItsVersionOnly(t *testing.T) {
+	for version, whole := range map[string]bool{"v1": true, "v2": false} {
+		announced := make(chan struct{})
+		x, y := newFakeTarget(t, "i1", cutsWhen(announced)), newFakeTarget(t, "i2", streamsEvents(9, 0))
+		f := newFixture(t, "llm")
+		f.announceVersion(t, x, "v1", fleet.Ready)
+		go func() {
+			for len(x.seen()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			f.announceVersion(t, y, version, fleet.Ready)
+			close(announced)
+		}()
+		_, body, err := f.call(t, "POST", "/short/", "")
+		if whole {
+			assert.NilError(t, err)
+			assert.Equal(t, body, events(1, 9))
+			continue
+		}
+		assert.Assert(t, err != nil, "a stream that is not whole must not look so")
+		assert.Equal(t, body, events(1, 3))
+		assert.Equal(t, len(y.seen()), 0)
+	}
+}
+
+// takeUp sends a request that takes up a stream after its third event.
+func (f *fixture) takeUp(t *testing.T, id, first string) (status int, body string) {
+	t.Helper()
+	resp, body, err := f.call(t, "POST", "/short/", "", "T-Id", id, "T-Resumes", first, "Last-Event-Id", "3")
+	assert.NilError(t, err)
+	return resp.StatusCode, body
+}
+
+const takeUps = 20
+
+// Guards against a caller that takes up a stream and gets the rest from another version.
+func TestTakeUpReachesItsVersionOnly(t *testing.T) {
+	announced := make(chan struct{})
+	x, y, z := newFakeTarget(t, "i1", cutsWhen(announced)), newFakeTarget(t, "i2", streamsEvents(9, 0)), newFakeTarget(t, "i3", streamsEvents(9, 0))
+	f := newFixture(t, "llm")
+	f.announceVersion(t, x, "v1", fleet.Ready)
+	go func() {
+		for len(x.seen()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		f.announceVersion(t, x, "v1", fleet.Draining)
+		f.announceVersion(t, y, "v2", fleet.Ready)
+		close(announced)
+	}()
+	_, body, err := f.call(t, "POST", "/short/", "", "T-Id", "first")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, body, events(1, 3))
+	status, _ := f.takeUp(t, "early", "first")
+	assert.Equal(t, status, http.StatusServiceUnavailable, "no target of its version is left")
+	f.announceVersion(t, z, "v1", fleet.Ready)
+	for range takeUps {
+		status, body := f.takeUp(t, "again", "first")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, events(4, 9))
+	}
+	assert.Equal(t, len(y.seen()), 0)
+}
+
+// Guards against a stream of which nothing is known that goes on at any version.
+func TestTakeUpOfUnknownStreamIsRefusedWhileVersionsDiffer(t *testing.T) {
+	x, y := newFakeTarget(t, "i1", streamsEvents(9, 0)), newFakeTarget(t, "i2", streamsEvents(9, 0))
+	f := newFixture(t, "llm")
+	f.announceVersion(t, x, "v1", fleet.Ready)
+	status, body := f.takeUp(t, "again", "unknown")
+	assert.Equal(t, status, http.StatusOK, "the service has one version")
+	assert.Equal(t, body, events(4, 9))
+	f.announceVersion(t, y, "v2", fleet.Ready)
+	f.announceVersion(t, x, "v1", fleet.Gone)
+	for range takeUps {
+		status, _ := f.takeUp(t, "again", "unknown")
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, len(x.seen())+len(y.seen()), 1)
+}
