forward: a stream goes on only at the software version that began it

Cause: a move, a continuation inside the answer and a take-up each picked any target with room; a target's version decided nothing, and Resumes was not read. Change: one constraint on the candidates of every placement. The first event binds a stream to its target's version; a move asks for that of its source; a take-up for the one that is remembered under the attempt of the first event. If nobody remembers it, the service's only version has begun it; while there are several, the take-up is refused at once (2013), as is one whose version has no target left (2014).

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -50,6 +50,19 @@
 // Serves reports whether at least one target of a service may get new work.
 func (v *View) Serves(service string) bool { return v.serving[service] }
 
+// Versions returns the software versions that targets of a service run or, if they have
+// left, ran, sorted.
+func (v *View) Versions(service string) []string {
+	var out []string
+	for _, t := range v.Targets {
+		if t.Service == service {
+			out = append(out, t.Version)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // ViewStore holds the newest View and merges responses from control instances into
 // it. It ignores replicated state that is not newer than the view's.
 type ViewStore struct {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 	"github.com/endivetrack/endivetrack/internal/manifest"
 	"github.com/endivetrack/endivetrack/internal/quarantine"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/streamversion"
 )
 
 // Limits for a caller's request.
@@ -89,8 +90,11 @@
 	// Quarantine holds the parts of prompts that crash targets. If it is nil, New creates
 	// one that no peers share.
 	Quarantine *quarantine.Store
-	Logger     zerolog.Logger
-	Metrics    tally.Scope
+	// StreamVersions remembers the versions that began streams. If it is nil, New creates one
+	// that no other instance shares.
+	StreamVersions StreamVersions
+	Logger         zerolog.Logger
+	Metrics        tally.Scope
 	// BufferBytes bounds the total size of the request bodies in memory.
 	BufferBytes int64
 }
@@ -122,6 +126,9 @@
 	if c.Quarantine == nil {
 		c.Quarantine = quarantine.New(c.Logger, c.Metrics, time.Now)
 	}
+	if c.StreamVersions == nil {
+		c.StreamVersions = streamversion.NewStore(maxLocalStreams, time.Now)
+	}
 	f := &Forwarder{config: c, table: newTable(c.Self, c.Regions), budget: newBudget(c.Budget), latencies: newObserver(c.Metrics)}
 	c.Quarantine.OnBegin(f.pending.withdraw)
 	return f
@@ -183,8 +190,12 @@
 	service  *manifest.Service
 	arrived  time.Time
 	deadline time.Time // deadline of the caller or of the route, whichever is earlier
-	tokens   tokenUse
-	parts    []string // IDs of the prompt's parts; the last one is the request's own
+	// callerDeadline is until when the caller may send the request again or take it up.
+	callerDeadline time.Time
+	// version is the software version that must serve the request; nil if any may.
+	version *string
+	tokens  tokenUse
+	parts   []string // IDs of the prompt's parts; the last one is the request's own
 	// identity is what all repeats of the request have in common; known once the body is read.
 	identity string
 	priority int
@@ -309,7 +320,9 @@
 	}
 	q.tokens = parseTokens(r.Header.Get(f.config.Headers.Tokens), r.Header.Get(f.config.Headers.LengthHint))
 	q.parts = parsePromptParts(r.Header.Get(f.config.Headers.PromptParts))
-	q.deadline = q.arrived.Add(min(parseDeadline(r.Header.Get(f.config.Headers.Deadline)), route.Timeout))
+	left := parseDeadline(r.Header.Get(f.config.Headers.Deadline))
+	q.callerDeadline = q.arrived.Add(left)
+	q.deadline = q.arrived.Add(min(left, route.Timeout))
 	return nil
 }
 
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -193,7 +193,7 @@
 		return nil, nil, nil // the destination would begin the run and crash
 	}
 	l := m.f.table.acquireLease(&demand{
-		q: q, origin: Location{Region: source.region, FailureDomain: source.failureDomain}, costs: moveCosts, exclude: exclude, isMove: true,
+		q: q, origin: Location{Region: source.region, FailureDomain: source.failureDomain}, costs: moveCosts, exclude: exclude, version: &source.version, isMove: true,
 	}, time.Now())
 	if l == nil {
 		return nil, nil, nil
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -58,6 +58,8 @@
 	origin  Location // location of this instance or, for a move, of the run's current target
 	costs   placementCosts
 	exclude []*endpoint
+	// version is the software version that must serve the request; nil if any may.
+	version *string
 	// isMove is set for a run whose memory is copied to the new endpoint.
 	// Engines whose memory the run would fill are excluded. Engines of other
 	// regions are excluded too: one copy would block the narrow link between
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -41,6 +41,9 @@
 func (f *Forwarder) serveStream(ctx context.Context, w http.ResponseWriter, q *request) error {
 	r := &streamSession{f: f, q: q, out: w}
 	f.budget.recordRequest(q.service.Name, time.Now())
+	if err := f.requireVersion(ctx, q); err != nil {
+		return err
+	}
 	var resume *resumePoint
 	l := f.place(q, &r.attemptHistory)
 	for {
@@ -203,6 +206,9 @@
 			r.timeToFirstEvent = now.Sub(r.q.arrived)
 			r.f.latencies.Record(firstEventLatency, r.timeToFirstEvent)
 		}
+		if r.legEvents == 1 {
+			r.f.noteVersion(r.q, l.endpoint)
+		}
 		r.lastEventAt = now
 		r.f.work.add(eventWork, len(raw), now)
 		r.sendHeader()
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -158,7 +158,7 @@
 // demandFor returns the demand of a caller's request. Targets in this instance's
 // failure domain are preferred.
 func (t *table) demandFor(q *request, exclude []*endpoint) *demand {
-	return &demand{q: q, origin: t.self, costs: requestCosts, exclude: exclude}
+	return &demand{q: q, origin: t.self, costs: requestCosts, exclude: exclude, version: q.version}
 }
 
 // acquireLease picks an endpoint and reserves capacity there. It returns nil if
@@ -209,6 +209,9 @@
 		if e.service != d.q.service.Name || !e.usable || slices.Contains(d.exclude, e) {
 			continue
 		}
+		if d.version != nil && e.version != *d.version {
+			continue
+		}
 		if !regionAllowed(d.q, e.region) || (e.conns >= connLimit && len(e.idle) == 0) {
 			continue
 		}
--- /dev/null
+++ b/internal/forward/version.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/endivetrack/endivetrack/internal/resultcode"
+	"github.com/endivetrack/endivetrack/internal/streamversion"
+)
+
+const (
+	// maxLocalStreams bounds the streams whose version an instance remembers without peers.
+	maxLocalStreams = 4096
+	// takeUpMargin is added to a caller's deadline for how long its stream is remembered.
+	takeUpMargin = 2 * time.Second
+)
+
+// StreamVersions remembers which software version began a stream, by the ID of the caller
+// attempt that brought its first event.
+type StreamVersions interface {
+	Record(id string, r streamversion.Record)
+	Lookup(ctx context.Context, id string) (version string, ok bool)
+}
+
+// takesUp returns whether the caller takes up a stream that it has events of, and the ID
+// of the attempt that brought the first one.
+func (f *Forwarder) takesUp(q *request) (first string, ok bool) {
+	first = q.header.Get(f.config.Headers.Resumes)
+	return first, first != "" || q.header.Get(f.config.Headers.LastEventID) != ""
+}
+
+// requireVersion sets the version that must continue the stream which the caller takes
+// up. If nobody remembers it, the service's only version has begun it; with several, the
+// request is refused, since what two versions write does not fit together.
+func (f *Forwarder) requireVersion(ctx context.Context, q *request) error {
+	first, ok := f.takesUp(q)
+	if !ok {
+		return nil
+	}
+	version, known := f.config.StreamVersions.Lookup(ctx, first)
+	view, _ := f.config.Views.View()
+	versions := view.Versions(q.service.Name)
+	if !known {
+		if len(versions) > 1 {
+			f.config.Metrics.Counter("forward.version_unknown").Inc(1)
+			return resultcode.Newf(resultcode.StreamVersionUnknown, "it is not known which of the versions %q of %q began the stream of attempt %s", versions, q.service.Name, first)
+		}
+		if len(versions) == 1 {
+			q.version = &versions[0]
+		}
+		return nil
+	}
+	q.version = &version
+	if !f.table.hasVersion(q.service.Name, version) {
+		f.config.Metrics.Counter("forward.version_gone").Inc(1)
+		return resultcode.Newf(resultcode.StreamVersionGone, "no target of %q runs version %q, which began the stream of attempt %s", q.service.Name, version, first)
+	}
+	return nil
+}
+
+// noteVersion is called with the first event of a stream: from then on only targets of
+// the same version may continue it.
+func (f *Forwarder) noteVersion(q *request, e *endpoint) {
+	if q.version == nil {
+		q.version = &e.version
+	}
+	if !q.route.Resumable {
+		return
+	}
+	first, ok := f.takesUp(q)
+	if !ok {
+		first = q.id
+	}
+	if first != "" {
+		f.config.StreamVersions.Record(first, streamversion.Record{Service: e.service, Version: *q.version, Until: q.callerDeadline.Add(takeUpMargin)})
+	}
+}
+
+// hasVersion reports whether a target of the version may get new work.
+func (t *table) hasVersion(service, version string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.endpoints {
+		if e.service == service && e.version == version && e.usable {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/forward/version_test.go
+++ b/internal/forward/version_test.go
@@ -21,7 +21,8 @@
 	f.syncTargets()
 }
 
-// Guards against a move that joins the events of two versions.
+// Guards against a move that joins the events of two versions. The fixture's targets name
+// no version, which counts as one.
 func TestMovedRunStaysAtItsVersion(t *testing.T) {
 	m := newMoveFixture(t, nil)
 	other := newFakeTarget(t, "other", streamsEvents(9, 0))
@@ -35,15 +36,14 @@
 		}
 		return move(engine, id, to, last)
 	}
-	m.announceVersion(t, m.x, "v1", fleet.Ready)
 	go func() {
 		for len(m.x.seen()) == 0 {
 			time.Sleep(time.Millisecond)
 		}
 		m.announceVersion(t, other, "v2", fleet.Ready)
-		m.announceVersion(t, m.x, "v1", fleet.Draining)
+		m.announceVersion(t, m.x, "", fleet.Draining)
 		time.Sleep(100 * time.Millisecond)
-		m.announceVersion(t, m.y, "v1", fleet.Ready)
+		m.announceVersion(t, m.y, "", fleet.Ready)
 	}()
 	_, body, err := m.call(t, "POST", "/long/", "prompt")
 	assert.NilError(t, err)
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -51,6 +51,10 @@
 	ControlUnavailable Code = 2010
 	PromptQuarantined  Code = 2011
 	RequestQuarantined Code = 2012
+	// StreamVersionUnknown and StreamVersionGone: a stream that the caller takes up cannot be
+	// continued by the software version that began it.
+	StreamVersionUnknown Code = 2013
+	StreamVersionGone    Code = 2014
 )
 
 // Execution codes (3xxx): the request may have run.
@@ -131,6 +135,8 @@
 	ControlUnavailable:    {"CONTROL_UNAVAILABLE", http.StatusServiceUnavailable},
 	PromptQuarantined:     {"PROMPT_QUARANTINED", http.StatusServiceUnavailable},
 	RequestQuarantined:    {"REQUEST_QUARANTINED", http.StatusServiceUnavailable},
+	StreamVersionUnknown:  {"STREAM_VERSION_UNKNOWN", http.StatusServiceUnavailable},
+	StreamVersionGone:     {"STREAM_VERSION_GONE", http.StatusServiceUnavailable},
 	TargetUnreachable:     {"TARGET_UNREACHABLE", http.StatusBadGateway},
 	GenerationLost:        {"GENERATION_LOST", http.StatusBadGateway},
 	OutcomeUnknown:        {"OUTCOME_UNKNOWN", http.StatusGatewayTimeout},
--- /dev/null
+++ b/internal/streamversion/store.go
@@ -0,0 +1,80 @@
+// Package streamversion remembers which software version of a service's targets began a
+// stream, so that whoever takes the stream up continues it at that version.
+//
+// Invariant: a stream is never said to have another version than the one that began it;
+// it may be forgotten. Crash case: entry instances keep their records in memory and give
+// them to control instances in several failure domains; a stream that nobody remembers is
+// continued only if its service has one version.
+package streamversion
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Record says which version began a stream.
+type Record struct {
+	Service string
+	Version string
+	// Until is when no caller takes the stream up any more.
+	Until time.Time
+}
+
+// Store holds records by the ID of the caller attempt that brought a stream's first
+// event. It is safe for concurrent use.
+type Store struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	records *lru.LRU[string, Record]
+}
+
+// NewStore returns an empty Store that forgets the oldest records beyond size.
+func NewStore(size int, now func() time.Time) *Store {
+	records, err := lru.NewLRU[string, Record](size, nil)
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	return &Store{now: now, records: records}
+}
+
+// Record keeps a record until it ends.
+func (s *Store) Record(id string, r Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records.Add(id, r)
+	s.dropEnded()
+}
+
+// dropEnded removes the ended records among the oldest. The caller holds s.mu.
+func (s *Store) dropEnded() {
+	now := s.now()
+	for {
+		_, oldest, ok := s.records.GetOldest()
+		if !ok || now.Before(oldest.Until) {
+			return
+		}
+		s.records.RemoveOldest()
+	}
+}
+
+// Lookup returns the version that began a stream. It returns false if that is not known.
+func (s *Store) Lookup(_ context.Context, id string) (version string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records.Peek(id)
+	if !ok || !s.now().Before(r.Until) {
+		return "", false
+	}
+	return r.Version, true
+}
+
+// Len returns the number of records.
+func (s *Store) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records.Len()
+}
