streamversion: a stream's software version is known after its entry instance is gone

Cause: only the instance that served the first part knew its version. Change: while a service has several versions, entry instances give their records, those of running streams included, to two control instances in different failure domains, at most every 100 ms; nothing waits for it. A take-up of an unknown stream asks all control instances for the record and for the versions that they have seen, for at most 300 ms.

--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -27,11 +27,17 @@
 	otherRegion
 )
 
-// markReachable records that a control instance responds, and its distance.
-func (f *Follower) markReachable(address string, d distance) {
+// place is where a control instance runs, relative to this instance.
+type place struct {
+	distance
+	failureDomain string
+}
+
+// markReachable records that a control instance responds, and where it runs.
+func (f *Follower) markReachable(address string, p place) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reachable[address] = d
+	f.reachable[address] = p
 }
 
 // markUnreachable records that a control instance does not respond.
@@ -41,15 +47,53 @@
 	delete(f.reachable, address)
 }
 
-// distanceOf returns the distance to the sender of a response.
-func (f *Follower) distanceOf(resp *api.FleetWatchResponse) distance {
+// placeOf returns where the sender of a response runs.
+func (f *Follower) placeOf(resp *api.FleetWatchResponse) place {
+	p := place{distance: otherRegion, failureDomain: resp.GetFailureDomain()}
 	switch {
 	case resp.GetFailureDomain() == f.self.FailureDomain:
-		return sameDomain
+		p.distance = sameDomain
 	case resp.GetRegion() == f.self.Region:
-		return sameRegion
+		p.distance = sameRegion
 	}
-	return otherRegion
+	return p
+}
+
+// nearestFirst returns the reachable control instances, nearest first.
+func (f *Follower) nearestFirst() []string {
+	f.mu.Lock()
+	reachable := maps.Clone(f.reachable)
+	f.mu.Unlock()
+	return slices.SortedFunc(maps.Keys(reachable), func(a, b string) int {
+		return cmp.Or(cmp.Compare(reachable[a].distance, reachable[b].distance), cmp.Compare(a, b))
+	})
+}
+
+// Nearest returns the reachable control instances, nearest first, beginning with one of
+// each failure domain.
+func (f *Follower) Nearest() []string {
+	order := f.nearestFirst()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var first, further []string
+	seen := map[string]bool{}
+	for _, address := range order {
+		domain := f.reachable[address].failureDomain
+		if seen[domain] {
+			further = append(further, address)
+			continue
+		}
+		seen[domain] = true
+		first = append(first, address)
+	}
+	return append(first, further...)
+}
+
+// Addresses returns the control instances that are polled, reachable or not.
+func (f *Follower) Addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.addressesToPoll()
 }
 
 // fetchManifests fetches each new manifest once, from the nearest control
@@ -76,13 +120,7 @@
 // fetchFromNearest tries the reachable control instances, nearest first. It
 // reports whether the view store then has the newest known manifest.
 func (f *Follower) fetchFromNearest(ctx context.Context) bool {
-	f.mu.Lock()
-	reachable := maps.Clone(f.reachable)
-	f.mu.Unlock()
-	order := slices.SortedFunc(maps.Keys(reachable), func(a, b string) int {
-		return cmp.Or(cmp.Compare(reachable[a], reachable[b]), cmp.Compare(a, b))
-	})
-	for _, address := range order {
+	for _, address := range f.nearestFirst() {
 		if err := f.fetchFrom(ctx, address); err != nil {
 			f.metrics.Counter("fleet.fetch_failed").Inc(1)
 			f.logger.Warn().Str("control", address).Err(err).Msg("manifest not fetched")
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -172,6 +172,21 @@
 	}
 }
 
+// Versions returns the software versions that the known targets of a service run or ran,
+// sorted.
+func (r *Registry) Versions(service string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, rec := range r.records {
+		if rec.Service == service {
+			out = append(out, rec.Version)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // Since returns the announcements that changed after the given number, in order
 // of change, the newest number, and a channel that is closed at the next change.
 func (r *Registry) Since(number uint64) ([]Announcement, uint64, <-chan struct{}) {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -82,6 +82,10 @@
 	}
 }
 
+// Versions returns the software versions that targets of a service have announced to this
+// instance, or to another one that relayed them.
+func (s *Server) Versions(service string) []string { return s.registry.Versions(service) }
+
 // Run sweeps the announcements for silent targets until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	tick := time.NewTicker(sweepInterval)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -34,7 +34,8 @@
 	// instance sends callers. They share the targets.
 	Entries map[string]Watcher
 
-	serving map[string]bool // names of the services with a usable target
+	serving  map[string]bool     // names of the services with a usable target
+	versions map[string][]string // software versions by service
 }
 
 // EntryCount returns the number of entry instances that share the targets, at
@@ -51,16 +52,9 @@
 func (v *View) Serves(service string) bool { return v.serving[service] }
 
 // Versions returns the software versions that targets of a service run or, if they have
-// left, ran, sorted.
+// left, ran, sorted. The caller must not modify the list.
 func (v *View) Versions(service string) []string {
-	var out []string
-	for _, t := range v.Targets {
-		if t.Service == service {
-			out = append(out, t.Version)
-		}
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
+	return v.versions[service]
 }
 
 // ViewStore holds the newest View and merges responses from control instances into
@@ -157,12 +151,18 @@
 
 // publish makes next the newest view. The caller must hold s.mu.
 func (s *ViewStore) publish(next *View) {
-	next.serving = map[string]bool{}
+	next.serving, next.versions = map[string]bool{}, map[string][]string{}
 	for _, t := range next.Targets {
+		if known := next.versions[t.Service]; !slices.Contains(known, t.Version) {
+			next.versions[t.Service] = append(known, t.Version)
+		}
 		if next.Usable(t) {
 			next.serving[t.Service] = true
 		}
 	}
+	for _, versions := range next.versions {
+		slices.Sort(versions)
+	}
 	s.view = next
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/endivetrack/endivetrack/internal/resultcode"
@@ -19,7 +20,7 @@
 // attempt that brought its first event.
 type StreamVersions interface {
 	Record(id string, r streamversion.Record)
-	Lookup(ctx context.Context, id string) (version string, ok bool)
+	Find(ctx context.Context, service, id string) streamversion.Finding
 }
 
 // takesUp returns whether the caller takes up a stream that it has events of, and the ID
@@ -37,10 +38,12 @@
 	if !ok {
 		return nil
 	}
-	version, known := f.config.StreamVersions.Lookup(ctx, first)
-	view, _ := f.config.Views.View()
-	versions := view.Versions(q.service.Name)
-	if !known {
+	found := f.config.StreamVersions.Find(ctx, q.service.Name, first)
+	if !found.Known {
+		view, _ := f.config.Views.View()
+		versions := slices.Concat(view.Versions(q.service.Name), found.Versions)
+		slices.Sort(versions)
+		versions = slices.Compact(versions)
 		if len(versions) > 1 {
 			f.config.Metrics.Counter("forward.version_unknown").Inc(1)
 			return resultcode.Newf(resultcode.StreamVersionUnknown, "it is not known which of the versions %q of %q began the stream of attempt %s", versions, q.service.Name, first)
@@ -50,10 +53,10 @@
 		}
 		return nil
 	}
-	q.version = &version
-	if !f.table.hasVersion(q.service.Name, version) {
+	q.version = &found.Version
+	if !f.table.hasVersion(q.service.Name, found.Version) {
 		f.config.Metrics.Counter("forward.version_gone").Inc(1)
-		return resultcode.Newf(resultcode.StreamVersionGone, "no target of %q runs version %q, which began the stream of attempt %s", q.service.Name, version, first)
+		return resultcode.Newf(resultcode.StreamVersionGone, "no target of %q runs version %q, which began the stream of attempt %s", q.service.Name, found.Version, first)
 	}
 	return nil
 }
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -12,6 +12,7 @@
 	"github.com/endivetrack/endivetrack/internal/agreement"
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
+	"github.com/endivetrack/endivetrack/internal/streamversion"
 )
 
 const (
@@ -79,8 +80,11 @@
 	s := newServers()
 	internal := http.NewServeMux()
 	internal.Handle(agreement.PathPrefix, node.Handler())
-	for prefix, handler := range server.Handlers() {
-		internal.Handle(prefix, handler)
+	streams := streamversion.NewServer(server.Versions, time.Now)
+	for _, handlers := range []map[string]http.Handler{server.Handlers(), streams.Handlers()} {
+		for prefix, handler := range handlers {
+			internal.Handle(prefix, handler)
+		}
 	}
 	err = s.start(ctx, c.InternalAddress, env.Timeline.Clock().Middleware(internal), nil)
 	for address, handler := range c.ExtraHandlers(server, env.Log) {
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -13,6 +13,7 @@
 	"github.com/endivetrack/endivetrack/internal/loads"
 	"github.com/endivetrack/endivetrack/internal/manifest"
 	"github.com/endivetrack/endivetrack/internal/quarantine"
+	"github.com/endivetrack/endivetrack/internal/streamversion"
 )
 
 // Memory and shutdown limits of an entry instance.
@@ -67,13 +68,14 @@
 	}
 	views := fleet.NewViewStore(c.Decode, time.Now)
 	quarantined := quarantine.New(env.Log, env.Metrics, time.Now)
+	self := fleet.Watcher{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain, Address: c.CallerAddress, InternalAddress: c.InternalAddress}
+	follower := fleet.NewFollower(self, c.Seeds, views, env.PeerClient, env.Log, env.Metrics)
+	streams := streamversion.NewTracker(views, follower, env.PeerClient, env.Metrics, time.Now)
 	forwarder := forward.New(forward.Config{
 		Self: forward.Location{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain}, Regions: c.Regions,
-		Headers: c.Headers, Engines: c.Engines, Budget: c.Budget, Views: views, Quarantine: quarantined,
+		Headers: c.Headers, Engines: c.Engines, Budget: c.Budget, Views: views, Quarantine: quarantined, StreamVersions: streams,
 		Logger: env.Log, Metrics: env.Metrics, BufferBytes: bufferBytes,
 	})
-	self := fleet.Watcher{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain, Address: c.CallerAddress, InternalAddress: c.InternalAddress}
-	follower := fleet.NewFollower(self, c.Seeds, views, env.PeerClient, env.Log, env.Metrics)
 	follower.ReportLoad(func() float64 { return c.load(forwarder.Work()) })
 	exchange, err := loads.Listen(c.Name, c.FailureDomain, c.InternalAddress, views.Entries, forwarder, quarantined, env.Metrics)
 	if err != nil {
@@ -84,6 +86,7 @@
 	go follower.Run(background)
 	go forwarder.Run(background)
 	go exchange.Run(background)
+	go streams.Run(background)
 	go c.watchReloads(background, env, follower.SetSeeds)
 
 	s := newServers()
--- /dev/null
+++ b/internal/streamversion/server.go
@@ -0,0 +1,61 @@
+package streamversion
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/age"
+)
+
+const (
+	// maxServerRecords bounds the streams that a control instance remembers.
+	maxServerRecords = 1 << 16
+	// maxIDBytes bounds the IDs and names in a record.
+	maxIDBytes = 256
+)
+
+// Server keeps the records of all entry instances on a control instance.
+type Server struct {
+	store *Store
+	now   func() time.Time
+	// versions returns the software versions that a service's targets have announced here.
+	versions func(service string) []string
+}
+
+// NewServer returns a Server without records.
+func NewServer(versions func(service string) []string, now func() time.Time) *Server {
+	return &Server{store: NewStore(maxServerRecords, now), now: now, versions: versions}
+}
+
+// Handlers returns the handlers for calls from entry instances, by path prefix.
+func (s *Server) Handlers() map[string]http.Handler {
+	return map[string]http.Handler{
+		api.StreamVersionCommandPathPrefix: api.NewStreamVersionCommandServer(s),
+		api.StreamVersionQueryPathPrefix:   api.NewStreamVersionQueryServer(s),
+	}
+}
+
+// Record keeps the records of an entry instance.
+func (s *Server) Record(_ context.Context, m *api.StreamVersionRecords) (*api.StreamVersionRecorded, error) {
+	now := s.now()
+	for _, r := range m.GetRecords() {
+		if len(r.GetId()) > maxIDBytes || len(r.GetService()) > maxIDBytes || len(r.GetVersion()) > maxIDBytes {
+			continue
+		}
+		until := now.Add(time.Duration(r.GetLeftMs()) * time.Millisecond)
+		s.store.Record(r.GetId(), Record{Service: r.GetService(), Version: r.GetVersion(), Until: until})
+	}
+	return &api.StreamVersionRecorded{}, nil
+}
+
+// Find returns what this instance knows of a stream and its service.
+func (s *Server) Find(_ context.Context, m *api.StreamVersionRequest) (*api.StreamVersionFinding, error) {
+	version, known := s.store.find(m.GetId())
+	return &api.StreamVersionFinding{Known: known, Version: version, Versions: s.versions(m.GetService())}, nil
+}
+
+func encodeRecord(id string, r Record, now time.Time) *api.StreamVersionRecord {
+	return &api.StreamVersionRecord{Id: id, Service: r.Service, Version: r.Version, LeftMs: age.Millis(r.Until.Sub(now))}
+}
--- a/internal/streamversion/store.go
+++ b/internal/streamversion/store.go
@@ -61,8 +61,22 @@
 	}
 }
 
-// Lookup returns the version that began a stream. It returns false if that is not known.
-func (s *Store) Lookup(_ context.Context, id string) (version string, ok bool) {
+// Finding is what is known of a stream that a caller takes up.
+type Finding struct {
+	// Version is the version that began the stream, if Known is set.
+	Version string
+	Known   bool
+	// Versions holds further versions that targets of the service have run.
+	Versions []string
+}
+
+// Find returns what is known of a stream.
+func (s *Store) Find(_ context.Context, _, id string) Finding {
+	version, known := s.find(id)
+	return Finding{Version: version, Known: known}
+}
+
+func (s *Store) find(id string) (version string, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, ok := s.records.Peek(id)
--- /dev/null
+++ b/internal/streamversion/tracker.go
@@ -0,0 +1,205 @@
+package streamversion
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/fleet"
+	"github.com/endivetrack/endivetrack/internal/sleep"
+)
+
+const (
+	// maxTrackedRecords bounds the streams that an entry instance remembers.
+	maxTrackedRecords = 4096
+	// sendInterval is the minimum time between two batches of records, and
+	// sendIntervalPerEntry the same for each entry instance: many of them together must
+	// not occupy the control instances.
+	sendInterval         = 100 * time.Millisecond
+	sendIntervalPerEntry = time.Millisecond
+	// copies is how many control instances, in different failure domains, get each record.
+	copies      = 2
+	sendTimeout = 400 * time.Millisecond
+	// findTimeout bounds how long a take-up waits for the control instances.
+	findTimeout = 300 * time.Millisecond
+)
+
+// Controls knows the control instances that an entry instance follows.
+type Controls interface {
+	// Nearest returns the reachable ones, nearest first, beginning with one of each failure domain.
+	Nearest() []string
+	// Addresses returns all of them, reachable or not.
+	Addresses() []string
+}
+
+// Tracker keeps the streams of an entry instance. While a service has several versions it
+// gives its records to control instances; while there is one, nothing has to be known.
+type Tracker struct {
+	store      *Store
+	views      *fleet.ViewStore
+	controls   Controls
+	peerClient *http.Client
+	metrics    tally.Scope
+	now        func() time.Time
+
+	mu      sync.Mutex
+	unsent  map[string]Record
+	changed chan struct{}
+}
+
+// NewTracker returns a Tracker without records. Run must be called for records to reach
+// control instances.
+func NewTracker(views *fleet.ViewStore, controls Controls, peerClient *http.Client, metrics tally.Scope, now func() time.Time) *Tracker {
+	return &Tracker{
+		store: NewStore(maxTrackedRecords, now), views: views, controls: controls, peerClient: peerClient, metrics: metrics, now: now,
+		unsent: map[string]Record{}, changed: make(chan struct{}, 1),
+	}
+}
+
+// Record keeps a record here and, while the service has several versions, at control
+// instances.
+func (t *Tracker) Record(id string, r Record) {
+	t.store.Record(id, r)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unsent[id] = r
+	if len(t.unsent) > maxTrackedRecords {
+		t.dropEnded()
+	}
+	if t.severalVersions(r.Service) {
+		select {
+		case t.changed <- struct{}{}:
+		default: // a batch is already due
+		}
+	}
+}
+
+// dropEnded forgets the unsent records that ended, and any others beyond the bound. The
+// caller holds t.mu.
+func (t *Tracker) dropEnded() {
+	now := t.now()
+	for id, r := range t.unsent {
+		if !now.Before(r.Until) || len(t.unsent) > maxTrackedRecords {
+			delete(t.unsent, id)
+		}
+	}
+}
+
+func (t *Tracker) severalVersions(service string) bool {
+	view, _ := t.views.View()
+	return len(view.Versions(service)) > 1
+}
+
+// Run sends records to control instances until ctx ends.
+func (t *Tracker) Run(ctx context.Context) {
+	for {
+		view, viewChanged := t.views.View()
+		if batch := t.dueRecords(); len(batch) > 0 {
+			t.send(ctx, batch)
+			if !sleep.For(ctx, max(sendInterval, time.Duration(view.EntryCount())*sendIntervalPerEntry)) {
+				return
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.changed:
+		case <-viewChanged:
+		}
+	}
+}
+
+// dueRecords returns the unsent records of services with several versions.
+func (t *Tracker) dueRecords() map[string]Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dropEnded()
+	due := map[string]Record{}
+	for id, r := range t.unsent {
+		if t.severalVersions(r.Service) {
+			due[id] = r
+		}
+	}
+	return due
+}
+
+// send gives a batch to the nearest control instances of different failure domains. The
+// records stay unsent if none accepts them.
+func (t *Tracker) send(ctx context.Context, batch map[string]Record) {
+	m := &api.StreamVersionRecords{}
+	now := t.now()
+	for id, r := range batch {
+		m.Records = append(m.Records, encodeRecord(id, r, now))
+	}
+	accepted := 0
+	for _, address := range t.controls.Nearest() {
+		if accepted == copies {
+			break
+		}
+		if err := t.sendTo(ctx, address, m); err != nil {
+			t.metrics.Counter("streams.not_recorded").Inc(1)
+			continue
+		}
+		accepted++
+	}
+	if accepted == 0 {
+		return
+	}
+	t.metrics.Counter("streams.recorded").Inc(int64(len(batch)))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, r := range batch {
+		if t.unsent[id] == r {
+			delete(t.unsent, id)
+		}
+	}
+}
+
+func (t *Tracker) sendTo(ctx context.Context, address string, m *api.StreamVersionRecords) error {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	_, err := api.NewStreamVersionCommandProtobufClient("http://"+address, t.peerClient).Record(ctx, m)
+	return err
+}
+
+// Find returns what this instance knows of a stream and, if it does not know the version
+// that began it, what the control instances know.
+func (t *Tracker) Find(ctx context.Context, service, id string) Finding {
+	if version, known := t.store.find(id); known {
+		return Finding{Version: version, Known: true}
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	addresses := t.controls.Addresses()
+	answers := make(chan *api.StreamVersionFinding, len(addresses))
+	for _, address := range addresses {
+		go func() { answers <- t.ask(ctx, address, service, id) }()
+	}
+	var f Finding
+	for range addresses {
+		a := <-answers
+		if a.GetKnown() {
+			return Finding{Version: a.GetVersion(), Known: true}
+		}
+		f.Versions = append(f.Versions, a.GetVersions()...)
+	}
+	slices.Sort(f.Versions)
+	f.Versions = slices.Compact(f.Versions)
+	return f
+}
+
+// ask returns what one control instance knows, or nil if it does not answer.
+func (t *Tracker) ask(ctx context.Context, address, service, id string) *api.StreamVersionFinding {
+	found, err := api.NewStreamVersionQueryProtobufClient("http://"+address, t.peerClient).Find(ctx, &api.StreamVersionRequest{Id: id, Service: service})
+	if err != nil {
+		t.metrics.Counter("streams.not_asked").Inc(1)
+		return nil
+	}
+	return found
+}
