fleet: the versions of each service are replicated, so that a restart of everything does not hide one

A stream that nobody remembers was continued at the only version that an instance saw. After all instances had restarted at once that could be the wrong one: targets of the other version had left, or had not announced themselves again (TestVersionsSurviveARestartOfEverything failed: no version known at the restarted group). Take-ups count these versions too. A version is no target: relaying it adds none.

--- a/internal/fleet/announce.go
+++ b/internal/fleet/announce.go
@@ -32,6 +32,7 @@
 	if !ok {
 		return resultcode.Newf(resultcode.Overloaded, "too many targets")
 	}
+	s.versions.seen(a.Service, a.Version)
 	if a.State.isLeaving() {
 		relayResult := s.relayAnnouncement(a)
 		return s.awaitWatchers(ctx, number, relayResult)
@@ -78,10 +79,14 @@
 // relayAnnouncement sends an announcement to the other control instances. The channel
 // yields true once one of them has accepted it, or false if none did.
 func (s *Server) relayAnnouncement(a Announcement) <-chan bool {
+	return s.relay(&api.FleetRelayRequest{Announcement: announcementToProto(&a)})
+}
+
+// relay is relayAnnouncement for any content.
+func (s *Server) relay(req *api.FleetRelayRequest) <-chan bool {
 	out := make(chan bool, 1)
 	others := s.controlAddresses()
 	others = slices.DeleteFunc(others, func(x string) bool { return x == s.address })
-	req := &api.FleetRelayRequest{Announcement: announcementToProto(&a)}
 	var wg sync.WaitGroup
 	var once sync.Once
 	for _, address := range others {
@@ -105,11 +110,18 @@
 
 // Relay records an announcement that another control instance has received.
 func (s *Server) Relay(_ context.Context, req *api.FleetRelayRequest) (*api.FleetRelayResponse, error) {
+	for _, v := range req.GetVersions() {
+		s.versions.seen(v.GetService(), v.GetVersion())
+	}
+	if req.GetAnnouncement() == nil && len(req.GetVersions()) > 0 {
+		return &api.FleetRelayResponse{}, nil
+	}
 	a := announcementFromProto(req.GetAnnouncement())
 	if a.ID == "" || a.State == 0 {
 		return nil, resultcode.ToTwirp(resultcode.Newf(resultcode.AnnouncementMalformed, "relayed announcement without id or state"))
 	}
 	s.registry.Announce(a, true)
+	s.versions.seen(a.Service, a.Version)
 	return &api.FleetRelayResponse{}, nil
 }
 
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -22,6 +22,9 @@
 	compressedManifest []byte
 	// OutOfService lists the failure domains that get no new work, sorted.
 	OutOfService []string
+	// Versions lists the software versions that targets run, or ran until versionRetention
+	// ago. A stream that nobody remembers may have begun at any version of its service.
+	Versions []ServiceVersion
 }
 
 // Document decompresses and returns the manifest document as it was accepted.
@@ -77,6 +80,18 @@
 			return nil
 		}
 		next.OutOfService = slices.DeleteFunc(slices.Clone(next.OutOfService), func(d string) bool { return d == c.TakeBack })
+	case *api.FleetChange_AddVersion:
+		v := serviceVersionFromProto(c.AddVersion)
+		if next.hasVersion(v) || len(next.Versions) >= maxVersions {
+			return nil
+		}
+		next.Versions = append(slices.Clone(next.Versions), v)
+	case *api.FleetChange_RemoveVersion:
+		v := serviceVersionFromProto(c.RemoveVersion)
+		if !next.hasVersion(v) {
+			return nil
+		}
+		next.Versions = slices.DeleteFunc(slices.Clone(next.Versions), func(x ServiceVersion) bool { return x == v })
 	default:
 		return nil
 	}
@@ -113,11 +128,19 @@
 
 // stateToProto converts a state to its message and leaves out the manifest document.
 func stateToProto(s *State) *api.FleetState {
-	return &api.FleetState{Index: s.Index, ManifestVersion: s.ManifestVersion, OutOfService: s.OutOfService}
+	p := &api.FleetState{Index: s.Index, ManifestVersion: s.ManifestVersion, OutOfService: s.OutOfService}
+	for _, v := range s.Versions {
+		p.Versions = append(p.Versions, v.toProto())
+	}
+	return p
 }
 
 func stateFromProto(p *api.FleetState) *State {
-	return &State{Index: p.GetIndex(), ManifestVersion: p.GetManifestVersion(), compressedManifest: p.GetManifest(), OutOfService: p.GetOutOfService()}
+	s := &State{Index: p.GetIndex(), ManifestVersion: p.GetManifestVersion(), compressedManifest: p.GetManifest(), OutOfService: p.GetOutOfService()}
+	for _, v := range p.GetVersions() {
+		s.Versions = append(s.Versions, serviceVersionFromProto(v))
+	}
+	return s
 }
 
 // ManifestChange returns the encoded command that puts a manifest in force.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -34,6 +34,7 @@
 	machine       *Machine
 	registry      *Registry
 	watchers      *Watchers
+	versions      *versionKeeper
 	epoch         string
 	address       string // this instance's address for calls from other instances
 	region        string
@@ -66,12 +67,14 @@
 // NewServer returns a Server with no announcements. Run must be called for
 // silent targets to be detected.
 func NewServer(c ServerConfig) *Server {
-	return &Server{
+	s := &Server{
 		log: c.Log, machine: c.Machine, epoch: c.Epoch, address: c.Address, region: c.Region, failureDomain: c.FailureDomain, peerClient: c.PeerClient,
 		logger: c.Logger, metrics: c.Metrics, now: c.Now, started: c.Now(),
 		registry: NewRegistry(c.AnnouncementInterval, c.Now),
 		watchers: NewWatchers(c.Now),
 	}
+	s.versions = newVersionKeeper(s)
+	return s
 }
 
 // Handlers returns the handlers for calls from other instances, by path prefix.
@@ -96,6 +99,7 @@
 			return
 		case <-tick.C:
 			s.registry.Sweep()
+			s.versions.sweep(ctx)
 		}
 	}
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -34,6 +34,8 @@
 	// instance sends callers. They share the targets.
 	Entries map[string]Watcher
 
+	stateVersions []ServiceVersion // versions of the replicated state
+
 	serving  map[string]bool     // names of the services with a usable target
 	versions map[string][]string // software versions by service
 }
@@ -160,6 +162,11 @@
 			next.serving[t.Service] = true
 		}
 	}
+	for _, v := range next.stateVersions {
+		if known := next.versions[v.Service]; !slices.Contains(known, v.Version) {
+			next.versions[v.Service] = append(known, v.Version)
+		}
+	}
 	for _, versions := range next.versions {
 		slices.Sort(versions)
 	}
@@ -193,7 +200,7 @@
 		return false
 	}
 	s.newestManifestVersion = max(s.newestManifestVersion, state.ManifestVersion)
-	next.Index = state.Index
+	next.Index, next.stateVersions = state.Index, state.Versions
 	next.OutOfService = map[string]bool{}
 	for _, d := range state.OutOfService {
 		next.OutOfService[d] = true
