streamversion: records follow the first event after 20 ms

Streams of a few events are taken up within 100 ms of their first one, before their record had left the instance.

--- a/internal/streamversion/tracker.go
+++ b/internal/streamversion/tracker.go
@@ -20,7 +20,7 @@
 	// sendInterval is the minimum time between two batches of records, and
 	// sendIntervalPerEntry the same for each entry instance: many of them together must
 	// not occupy the control instances.
-	sendInterval         = 100 * time.Millisecond
+	sendInterval         = 20 * time.Millisecond
 	sendIntervalPerEntry = time.Millisecond
 	// copies is how many control instances, in different failure domains, get each record.
 	copies      = 2
