fleet, streamversion: records also go to control instances whose last poll failed

After a reset of all connections a control instance counted as unreachable until a poll ended, up to a second later, and records had nowhere to go. TestUnreachableControlInstancesAreTriedLast fails on the code before (an empty list).

--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -69,8 +69,9 @@
 	})
 }
 
-// Nearest returns the reachable control instances, nearest first, beginning with one of
-// each failure domain.
+// Nearest returns the control instances to try in turn: the reachable ones, nearest first
+// and beginning with one of each failure domain, then those whose last poll failed. They
+// count as reachable again only when a poll ends.
 func (f *Follower) Nearest() []string {
 	order := f.nearestFirst()
 	f.mu.Lock()
@@ -86,7 +87,13 @@
 		seen[domain] = true
 		first = append(first, address)
 	}
-	return append(first, further...)
+	out := append(first, further...)
+	for _, address := range f.addressesToPoll() {
+		if !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	return out
 }
 
 // Addresses returns the control instances that are polled, reachable or not.
--- a/internal/fleet/versions_test.go
+++ b/internal/fleet/versions_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -112,3 +114,16 @@
 	state, _ = c.machine.State()
 	assert.Assert(t, state.hasVersion(ServiceVersion{"s", "v2"}), "a new leader has not been told yet")
 }
+
+// Guards against streams that are not recorded for the second after all connections were reset.
+func TestUnreachableControlInstancesAreTriedLast(t *testing.T) {
+	f := NewFollower(Watcher{Name: "e", Region: "r", FailureDomain: "a"}, []string{"down:1", "x:1", "y:1", "z:1"}, NewViewStore(decodeTestDocument, time.Now), nil, zerolog.Nop(), tally.NoopScope)
+	f.markReachable("x:1", place{sameDomain, "a"})
+	f.markReachable("y:1", place{sameDomain, "a"})
+	f.markReachable("z:1", place{otherRegion, "b"})
+	assert.DeepEqual(t, f.Nearest(), []string{"x:1", "z:1", "y:1", "down:1"})
+	for _, address := range []string{"x:1", "y:1", "z:1"} {
+		f.markUnreachable(address)
+	}
+	assert.DeepEqual(t, f.Nearest(), []string{"down:1", "x:1", "y:1", "z:1"})
+}
--- a/internal/streamversion/tracker.go
+++ b/internal/streamversion/tracker.go
@@ -31,7 +31,8 @@
 
 // Controls knows the control instances that an entry instance follows.
 type Controls interface {
-	// Nearest returns the reachable ones, nearest first, beginning with one of each failure domain.
+	// Nearest returns them in the order in which they are tried: one of each failure domain,
+	// nearest first, then the others.
 	Nearest() []string
 	// Addresses returns all of them, reachable or not.
 	Addresses() []string
