--- a/internal/forward/crashing_request_test.go
+++ b/internal/forward/crashing_request_test.go
@@ -96,14 +96,14 @@
 	}
 }
 
-// lateAttempts returns how many deadly attempts arrived later than settleTime after the
-// third crash, and the number of crashes.
-func lateAttempts(targets []*mortalTarget) (late, crashes int) {
+// lateAttempts returns how many attempts of a deadly request arrived later than settleTime
+// after its third crash, and the number of its crashes.
+func lateAttempts(targets []*mortalTarget, body string) (late, crashes int) {
 	var crashedAt, arrivals []time.Time
 	for _, x := range targets {
 		x.mu.Lock()
-		crashedAt = append(crashedAt, x.crashedAt...)
-		arrivals = append(arrivals, x.arrivals...)
+		crashedAt = append(crashedAt, timesOf(x.crashedBy, body)...)
+		arrivals = append(arrivals, timesOf(x.arrivals, body)...)
 		x.mu.Unlock()
 	}
 	slices.SortFunc(crashedAt, time.Time.Compare)
@@ -118,19 +118,33 @@
 	return late, len(crashedAt)
 }
 
-func TestRequestThatCrashesEachTargetStopsReachingThem(t *testing.T) {
+func timesOf(list []deadlyArrival, body string) []time.Time {
+	var out []time.Time
+	for _, x := range list {
+		if x.body == body {
+			out = append(out, x.at)
+		}
+	}
+	return out
+}
+
+// playCrashing plays callers that repeat deadly requests beside sound ones, at instances
+// that share three targets, and checks what reaches the targets and what callers get.
+func playCrashing(t *testing.T, instances, callersEach int, path string, bodies ...string) {
 	targets := newMortalTargets(t, 3)
-	p := &crashPlay{
-		fixtures: []*fixture{newFixture(t, "core"), newFixture(t, "core"), newFixture(t, "core")},
-		begun:    time.Now(), length: 4 * time.Second, sound: map[string]int{}, served: map[string]int{},
+	p := &crashPlay{begun: time.Now(), length: 4 * time.Second, sound: map[string]int{}, served: map[string]int{}}
+	for range instances {
+		p.fixtures = append(p.fixtures, newFixture(t, "core"))
 	}
 	announceMortal(t, "core", targets, p.fixtures...)
 	linkEvidence(t, p.fixtures...)
 	var callers sync.WaitGroup
-	for range 2 {
-		callers.Go(func() {
-			p.repeat(t, "deadly", 120*time.Millisecond, 1, func(int) (string, string) { return "/read/deadly", deadlyBody })
-		})
+	for _, body := range bodies {
+		for range callersEach {
+			callers.Go(func() {
+				p.repeat(t, body, 120*time.Millisecond, 1, func(int) (string, string) { return path, body })
+			})
+		}
 	}
 	callers.Go(func() {
 		p.repeat(t, "lookup", 10*time.Millisecond, 1, func(n int) (string, string) { return fmt.Sprint("/read/", n), "" })
@@ -142,14 +156,33 @@
 		p.repeat(t, "write", 20*time.Millisecond, 0, func(n int) (string, string) { return fmt.Sprint("/write/", n), "pay" })
 	})
 	callers.Wait()
-	late, crashes := lateAttempts(targets)
-	assert.Assert(t, late <= maxLateAttempts, "%d attempts after the third crash, %d crashes", late, crashes)
-	assert.Equal(t, p.served["deadly"], 0)
+	for _, body := range bodies {
+		late, crashes := lateAttempts(targets, body)
+		assert.Assert(t, late <= maxLateAttempts, "%s: %d attempts after the third crash, %d crashes", body, late, crashes)
+		assert.Equal(t, p.served[body], 0)
+	}
 	for _, kind := range []string{"lookup", "hot", "write"} {
 		assert.Equal(t, p.served[kind], p.sound[kind], "%s: sound requests are served beside the crashing one", kind)
 	}
 }
 
+func TestRequestThatCrashesEachTargetStopsReachingThem(t *testing.T) {
+	t.Parallel()
+	playCrashing(t, 3, 2, "/read/deadly", deadlyBody)
+}
+
+// Guards against repeats of several requests that hide each other, many at a time.
+func TestSeveralCrashingRequestsAreToldApart(t *testing.T) {
+	t.Parallel()
+	playCrashing(t, 6, 4, "/read/deadly", deadlyBody+"1", deadlyBody+"2")
+}
+
+// Guards against writes that crash targets: they are never repeated by an instance, but callers send them again.
+func TestWriteThatCrashesEachTargetStopsReachingThem(t *testing.T) {
+	t.Parallel()
+	playCrashing(t, 3, 2, "/write/deadly", deadlyBody)
+}
+
 // Guards against a caller that is told nothing useful when its request is refused.
 func TestRepeatOfCrashingRequestIsRefusedAtOnce(t *testing.T) {
 	x := newFakeTarget(t, "i1", respondsWith(http.StatusOK, "done"))
--- a/internal/forward/deadly_test.go
+++ b/internal/forward/deadly_test.go
@@ -41,11 +41,17 @@
 	conns       map[net.Conn]bool
 	deadly      int // deadly requests that arrived
 	crashes     int
-	arrivals    []time.Time // of deadly requests
-	crashedAt   []time.Time
+	arrivals    []deadlyArrival
+	crashedBy   []deadlyArrival
 	onRestart   func(incarnation int64)
 }
 
+// deadlyArrival is the arrival of a deadly request, or the crash that it causes.
+type deadlyArrival struct {
+	body string
+	at   time.Time
+}
+
 func newMortalTarget(t *testing.T, id string) *mortalTarget {
 	t.Helper()
 	x := &mortalTarget{id: id, conns: map[net.Conn]bool{}}
@@ -110,18 +116,18 @@
 		if err != nil {
 			return
 		}
-		deadly := strings.Contains(r.Header.Get("T-Parts"), deadlyPart) || string(body) == deadlyBody
+		deadly := strings.Contains(r.Header.Get("T-Parts"), deadlyPart) || strings.HasPrefix(string(body), deadlyBody)
 		if deadly {
 			x.mu.Lock()
 			x.deadly++
-			x.arrivals = append(x.arrivals, time.Now())
+			x.arrivals = append(x.arrivals, deadlyArrival{string(body), time.Now()})
 			x.mu.Unlock()
 		}
 		time.Sleep(firstEventDelay)
 		if deadly {
 			x.mu.Lock()
 			x.crashes++
-			x.crashedAt = append(x.crashedAt, time.Now())
+			x.crashedBy = append(x.crashedBy, deadlyArrival{string(body), time.Now()})
 			x.mu.Unlock()
 			x.crash()
 			time.AfterFunc(targetRestart, x.restart)
