--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -27,17 +27,17 @@
 	otherRegion
 )
 
-// place is where a control instance runs, relative to this instance.
-type place struct {
+// location is where a control instance runs, relative to this instance.
+type location struct {
 	distance
 	failureDomain string
 }
 
 // markReachable records that a control instance responds, and where it runs.
-func (f *Follower) markReachable(address string, p place) {
+func (f *Follower) markReachable(address string, l location) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reachable[address] = p
+	f.reachable[address] = l
 }
 
 // markUnreachable records that a control instance does not respond.
@@ -47,16 +47,16 @@
 	delete(f.reachable, address)
 }
 
-// placeOf returns where the sender of a response runs.
-func (f *Follower) placeOf(resp *api.FleetWatchResponse) place {
-	p := place{distance: otherRegion, failureDomain: resp.GetFailureDomain()}
+// locationOf returns where the sender of a response runs.
+func (f *Follower) locationOf(resp *api.FleetWatchResponse) location {
+	l := location{distance: otherRegion, failureDomain: resp.GetFailureDomain()}
 	switch {
 	case resp.GetFailureDomain() == f.self.FailureDomain:
-		p.distance = sameDomain
+		l.distance = sameDomain
 	case resp.GetRegion() == f.self.Region:
-		p.distance = sameRegion
+		l.distance = sameRegion
 	}
-	return p
+	return l
 }
 
 // nearestFirst returns the reachable control instances, nearest first.
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -53,7 +53,7 @@
 	seeds       []string
 	lastListed  map[string]time.Time // time of the last response that listed a control instance; keyed by address, like polling and reachable
 	polling     map[string]bool
-	reachable   map[string]place // the control instances that respond
+	reachable   map[string]location // the control instances that respond
 	wake        chan struct{}    // receives a value when a poll loop may have to be started
 	workers     sync.WaitGroup
 }
@@ -63,7 +63,7 @@
 func NewFollower(self Watcher, seeds []string, views *ViewStore, peerClient *http.Client, logger zerolog.Logger, metrics tally.Scope) *Follower {
 	f := &Follower{
 		views: views, peerClient: peerClient, logger: logger, metrics: metrics, self: self, seeds: seeds,
-		lastListed: map[string]time.Time{}, polling: map[string]bool{}, reachable: map[string]place{}, wake: make(chan struct{}, 1),
+		lastListed: map[string]time.Time{}, polling: map[string]bool{}, reachable: map[string]location{}, wake: make(chan struct{}, 1),
 	}
 	f.selfContext, f.endSelf = context.WithCancel(context.Background())
 	return f
@@ -238,7 +238,7 @@
 	}
 	f.views.Merge(state, announcements)
 	p.epoch, p.cursor = resp.GetEpoch(), resp.GetCursor()
-	f.markReachable(p.control, f.placeOf(resp))
+	f.markReachable(p.control, f.locationOf(resp))
 	if resp.GetEntriesVersion() != p.entriesVersion {
 		entries := make([]Watcher, 0, len(resp.GetEntries()))
 		for _, w := range resp.GetEntries() {
--- a/internal/fleet/versions_test.go
+++ b/internal/fleet/versions_test.go
@@ -118,9 +118,9 @@
 // Guards against streams that are not recorded for the second after all connections were reset.
 func TestUnreachableControlInstancesAreTriedLast(t *testing.T) {
 	f := NewFollower(Watcher{Name: "e", Region: "r", FailureDomain: "a"}, []string{"down:1", "x:1", "y:1", "z:1"}, NewViewStore(decodeTestDocument, time.Now), nil, zerolog.Nop(), tally.NoopScope)
-	f.markReachable("x:1", place{sameDomain, "a"})
-	f.markReachable("y:1", place{sameDomain, "a"})
-	f.markReachable("z:1", place{otherRegion, "b"})
+	f.markReachable("x:1", location{sameDomain, "a"})
+	f.markReachable("y:1", location{sameDomain, "a"})
+	f.markReachable("z:1", location{otherRegion, "b"})
 	assert.DeepEqual(t, f.Nearest(), []string{"x:1", "z:1", "y:1", "down:1"})
 	for _, address := range []string{"x:1", "y:1", "z:1"} {
 		f.markUnreachable(address)
