fleet: one walk over the records decides who has an address

markReplacedTargetsGone and isReplaced walked the records one after the other for the same address on each first announcement. Behaviour and tests unchanged.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -73,8 +73,7 @@
 	case rec == nil && len(r.records) >= maxTargets:
 		return 0, false
 	case rec == nil:
-		r.markReplacedTargetsGone(&a)
-		if r.isReplaced(&a) {
+		if !r.claimAddress(&a) {
 			a.State = Gone
 		}
 		rec = &record{Announcement: a}
@@ -100,7 +99,7 @@
 	urgent := next.State != rec.State || next.Incarnation != rec.Incarnation || next.Address != rec.Address
 	changed := urgent || next.Slots != rec.Slots || (next.ColdRemaining > 0) != wasCold
 	if next.Incarnation != rec.Incarnation {
-		r.markReplacedTargetsGone(&next)
+		r.claimAddress(&next)
 	}
 	rec.Announcement = next
 	if changed {
@@ -108,30 +107,26 @@
 	}
 }
 
-// markReplacedTargetsGone marks the other targets at a's address as gone unless
-// they have started later. An address belongs to one target, the one that has
-// started last.
-func (r *Registry) markReplacedTargetsGone(a *Announcement) {
+// claimAddress marks the other targets at a's address as gone unless they have started
+// later: an address belongs to the target that has started last. It returns false if a
+// later one has announced itself, so that a's sender has ended.
+func (r *Registry) claimAddress(a *Announcement) bool {
 	if a.Address == "" {
-		return
+		return true
 	}
+	claimed := true
 	for id, other := range r.records {
-		if id != a.ID && other.Address == a.Address && other.State != Gone && other.Incarnation <= a.Incarnation {
-			other.State = Gone
-			r.publish(other, true)
+		if id == a.ID || other.Address != a.Address || other.State == Gone {
+			continue
 		}
-	}
-}
-
-// isReplaced reports whether a target that started later has announced itself at a's
-// address: the announcement was delayed, and its sender has ended.
-func (r *Registry) isReplaced(a *Announcement) bool {
-	for id, other := range r.records {
-		if id != a.ID && a.Address != "" && other.Address == a.Address && other.State != Gone && other.Incarnation > a.Incarnation {
-			return true
+		if other.Incarnation > a.Incarnation {
+			claimed = false
+			continue
 		}
+		other.State = Gone
+		r.publish(other, true)
 	}
-	return false
+	return claimed
 }
 
 // publish gives the record the next number, adds it to the history and wakes
