--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -54,7 +54,7 @@
 	lastListed  map[string]time.Time // time of the last response that listed a control instance; keyed by address, like polling and reachable
 	polling     map[string]bool
 	reachable   map[string]location // the control instances that respond
-	wake        chan struct{}    // receives a value when a poll loop may have to be started
+	wake        chan struct{}       // receives a value when a poll loop may have to be started
 	workers     sync.WaitGroup
 }
 
