--- a/client/addresses.go
+++ b/client/addresses.go
@@ -29,6 +29,7 @@
 	expires    time.Time
 	avoidUntil map[string]time.Time
 	refreshed  chan struct{} // closed when the refresh in progress ends; nil if there is none
+	cancelled  bool          // the last refresh ended because its caller left
 }
 
 func newAddressCache(cfg Config, c *http.Client) *addressCache {
@@ -37,17 +38,13 @@
 
 // pickInstance returns the most preferred instance that has not failed recently. If
 // all have, it returns the one whose last failure is the oldest. An expired list is
-// refreshed by one caller; others use the old list meanwhile, or wait if there is none.
+// refreshed by one caller; others use the old list meanwhile, or wait if there is none. If
+// the caller that refreshes leaves, one of those that wait takes over.
 func (a *addressCache) pickInstance(ctx context.Context) (string, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if time.Now().After(a.expires) {
-		switch {
-		case a.refreshed == nil:
-			a.refresh(ctx)
-		case len(a.instances) == 0:
-			a.awaitRefresh(ctx)
-		}
+		a.updateInstances(ctx)
 	}
 	if len(a.instances) == 0 {
 		return "", &Error{Code: CodeNoInstance, Name: "NO_INSTANCE", Message: "no entry instance answers", Execution: NotRun}
@@ -62,6 +59,24 @@
 	return slices.MinFunc(a.instances, func(x, y string) int { return a.avoidUntil[x].Compare(a.avoidUntil[y]) }), nil
 }
 
+// updateInstances refreshes the list or, if there is none, waits until another caller has.
+// The caller must hold a.mu, which is released meanwhile.
+func (a *addressCache) updateInstances(ctx context.Context) {
+	if a.refreshed == nil {
+		a.refresh(ctx)
+		return
+	}
+	for len(a.instances) == 0 && ctx.Err() == nil {
+		if a.refreshed == nil {
+			if a.cancelled {
+				a.refresh(ctx)
+			}
+			return
+		}
+		a.awaitRefresh(ctx)
+	}
+}
+
 // awaitRefresh waits for the refresh in progress. The caller must hold a.mu, which is
 // released meanwhile.
 func (a *addressCache) awaitRefresh(ctx context.Context) {
@@ -88,6 +103,7 @@
 func (a *addressCache) refresh(ctx context.Context) {
 	a.refreshed = make(chan struct{})
 	defer func() {
+		a.cancelled = ctx.Err() != nil
 		close(a.refreshed)
 		a.refreshed = nil
 	}()
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -331,6 +331,38 @@
 	assert.Equal(t, asked.Load(), int32(1))
 }
 
+// Guards against a call that fails because another call's refresh, which it waits for, is
+// cancelled.
+func TestCancelledRefreshIsTakenOver(t *testing.T) {
+	var asked atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if asked.Add(1) == 1 {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = io.WriteString(w, `{"ttl_ms":60000,"addresses":[{"address":"b:1"}]}`)
+	}))
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	a := newAddressCache(Config{Entries: []string{strings.TrimPrefix(server.URL, "http://")}}, client)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancelled := make(chan struct{})
+	go func() {
+		defer close(cancelled)
+		_, err := a.pickInstance(ctx)
+		assert.Check(t, err != nil)
+	}()
+	for asked.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.AfterFunc(20*time.Millisecond, cancel)
+	address, err := a.pickInstance(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, address, "b:1")
+	<-cancelled
+}
+
 // Guards against a call that fails with a nil error because it is never sent.
 func TestNegativeAttemptsAreRefused(t *testing.T) {
 	_, err := New(Config{Entries: []string{"127.0.0.1:1"}, Key: "key", Attempts: -1})
