quarantine, forward: the last target of a service is spared from a request that has just crashed two others

Callers of a service with three targets got nothing for a restart's time, since a crashing request took all three before the third crash proved it. Cause: until then nothing kept it from the last one. Change: a suspect of two crashes is refused at once (2012, Retry-After 2 s) while one target is left and others crashed within 5 s. When they are back it may run and is then known. Evidence: TestLastTargetIsSparedFromSuspectOfTwoCrashes failed before (3 crashes) and passes; sound lookups are served by the third target.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -240,6 +240,8 @@
 	pauseDraining   = 100 * time.Millisecond // short, because other instances still accept requests
 	pauseNoManifest = 500 * time.Millisecond
 	pauseOverloaded = 700 * time.Millisecond
+	// pauseLastTarget is about the time in which a crashed target comes back.
+	pauseLastTarget = 2 * time.Second
 	// minLimitPause is the shortest pause after a refusal because of targets' limits.
 	minLimitPause = 50 * time.Millisecond
 )
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -62,7 +62,7 @@
 			return
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			f.config.Quarantine.RecordCrash(quarantine.CrashID{Target: e.id, Incarnation: e.incarnation}, q.service.Name, lostAt, suspect)
+			f.config.Quarantine.RecordCrash(crashID(e), q.service.Name, lostAt, suspect)
 		}
 	}()
 	timeout := time.NewTimer(crashCheckWait)
@@ -73,6 +73,10 @@
 	}
 }
 
+func crashID(e *endpoint) quarantine.CrashID {
+	return quarantine.CrashID{Target: e.id, Incarnation: e.incarnation}
+}
+
 // isConnectionLost reports whether the target closed or reset the connection.
 func isConnectionLost(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
--- a/internal/forward/crashing_request_test.go
+++ b/internal/forward/crashing_request_test.go
@@ -202,3 +202,27 @@
 	assert.Assert(t, strings.Contains(body, "2012") && resp.Header.Get("Retry-After") != "", body)
 	assert.Equal(t, len(x.seen()), 1)
 }
+
+// Guards against a service that loses its last target to a request that crashed the others
+// a moment before.
+func TestLastTargetIsSparedFromSuspectOfTwoCrashes(t *testing.T) {
+	targets := newMortalTargets(t, 3)
+	for _, x := range targets {
+		x.restartAfter = 10 * time.Second
+	}
+	a, b := newFixture(t, "core"), newFixture(t, "core")
+	announceMortal(t, "core", targets, a, b)
+	linkEvidence(t, a, b)
+	for n := range 6 {
+		f := []*fixture{a, b}[n%2]
+		_, _, _ = f.call(t, "POST", "/read/deadly", deadlyBody, "T-Id", fmt.Sprint("d", n)) // fails or is refused
+		time.Sleep(20 * time.Millisecond)
+	}
+	_, crashes := sumCounts(targets)
+	assert.Equal(t, crashes, 2)
+	for n := range 10 {
+		resp, _, err := b.call(t, "POST", fmt.Sprint("/read/", n), "", "T-Id", fmt.Sprint("s", n))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+}
--- a/internal/forward/deadly_test.go
+++ b/internal/forward/deadly_test.go
@@ -31,9 +31,10 @@
 
 // mortalTarget answers streams of three events and plain requests, and crashes when it
 // begins to answer a request with deadlyPart or deadlyBody: its process ends, so that it
-// refuses connections, and a new incarnation starts at the same address after targetRestart.
+// refuses connections, and a new incarnation starts at the same address after restartAfter.
 type mortalTarget struct {
-	id, address string
+	id, address  string
+	restartAfter time.Duration
 
 	mu          sync.Mutex
 	incarnation int64
@@ -54,7 +55,7 @@
 
 func newMortalTarget(t *testing.T, id string) *mortalTarget {
 	t.Helper()
-	x := &mortalTarget{id: id, conns: map[net.Conn]bool{}}
+	x := &mortalTarget{id: id, restartAfter: targetRestart, conns: map[net.Conn]bool{}}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	x.address = l.Addr().String()
@@ -130,7 +131,7 @@
 			x.crashedBy = append(x.crashedBy, deadlyArrival{string(body), time.Now()})
 			x.mu.Unlock()
 			x.crash()
-			time.AfterFunc(targetRestart, x.restart)
+			time.AfterFunc(x.restartAfter, x.restart)
 			return
 		}
 		if r.Header.Get("T-Parts") == "" {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -15,6 +15,12 @@
 		a.lastErr = quarantinedError(found).WithRetryAfter(time.Until(found.Until))
 		return nil
 	}
+	if f.config.Quarantine.SpareLast(q.features()) && f.isLastTarget(q) {
+		f.config.Metrics.Counter("quarantine.refused").Inc(1)
+		a.lastErr = resultcode.Newf(resultcode.RequestQuarantined, "two targets of %q have just crashed with this request (%s), and one is left", q.service.Name, q.identity).
+			WithRetryAfter(pauseLastTarget)
+		return nil
+	}
 	d, now := f.table.demandFor(q, a.exclude), time.Now()
 	if l := f.table.acquireLease(d, now); l != nil {
 		return l
@@ -27,6 +33,20 @@
 	return nil
 }
 
+// isLastTarget reports whether the service of a request has lost targets to crashes and
+// has at most one left.
+func (f *Forwarder) isLastTarget(q *request) bool {
+	left, crashed := 0, 0
+	for _, e := range f.table.usableEndpoints(q.service.Name) {
+		if f.config.Quarantine.CrashedRecently(crashID(e)) {
+			crashed++
+		} else {
+			left++
+		}
+	}
+	return left <= 1 && crashed > 0
+}
+
 func quarantinedError(found quarantine.Quarantine) *resultcode.Error {
 	if found.IsRequest() {
 		return resultcode.Newf(resultcode.RequestQuarantined, "targets crash when they run this request (%s)", found.Parts[0])
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -314,6 +314,19 @@
 	return e.usable
 }
 
+// usableEndpoints returns the endpoints of a service that may get new work.
+func (t *table) usableEndpoints(service string) []*endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*endpoint
+	for _, e := range t.endpoints {
+		if e.service == service && e.usable {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // takeChangedEndpoints returns the endpoints that were added, or whose state or
 // usability changed, since the last call.
 func (t *table) takeChangedEndpoints() []endpointStatus {
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -81,12 +81,5 @@
 
 // hasVersion reports whether a target of the version may get new work.
 func (t *table) hasVersion(service, version string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, e := range t.endpoints {
-		if e.service == service && e.version == version && e.usable {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(t.usableEndpoints(service), func(e *endpoint) bool { return e.version == version })
 }
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -25,6 +25,10 @@
 	// verdictDelay is the time after a crash in which other instances tell which requests
 	// they lost with the target.
 	verdictDelay = 100 * time.Millisecond
+	// minCrashesToSpare is how many crashes keep a request from the last target of its
+	// service, until the others had restartTime to come back.
+	minCrashesToSpare = 2
+	restartTime       = 5 * time.Second
 	// cleanBefore is how long before its first crash a part's last success still counts.
 	cleanBefore = 2 * time.Second
 )
@@ -122,29 +126,35 @@
 // undecided returns until when a request is refused because its targets have just
 // crashed, and other instances may not yet have told what else was on them.
 func (s *Store) undecided(features []string, now time.Time) (until time.Time, ok bool) {
-	recent := slices.ContainsFunc(s.crashes, func(c *crash) bool { return now.Sub(c.at) < verdictDelay })
-	if !recent || len(features) == 0 || !isIdentity(features[0]) {
-		return time.Time{}, false
+	n, last := s.suspicion(features, now, verdictDelay)
+	until = last.Add(verdictDelay)
+	return until, n >= minCrashes && now.Before(until)
+}
+
+// suspicion returns of how many crashes a request is suspect and when the last one was;
+// 0 if no target has crashed within recent, or if the request was served since the first.
+func (s *Store) suspicion(features []string, now time.Time, recent time.Duration) (n int, last time.Time) {
+	anyRecent := slices.ContainsFunc(s.crashes, func(c *crash) bool { return now.Sub(c.at) < recent })
+	if !anyRecent || len(features) == 0 || !isIdentity(features[0]) {
+		return 0, time.Time{}
 	}
-	var first, last *crash
-	n := 0
+	var first time.Time
 	for _, c := range s.crashes {
 		if !slices.ContainsFunc(c.suspects, func(x Suspect) bool { return slices.Contains(x.Shared, features[0]) }) {
 			continue
 		}
-		n++
-		if first == nil || c.at.Before(first.at) {
-			first = c
+		if n == 0 || c.at.Before(first) {
+			first = c.at
 		}
-		if last == nil || c.at.After(last.at) {
-			last = c
+		if n == 0 || c.at.After(last) {
+			last = c.at
 		}
+		n++
 	}
-	if n < minCrashes || s.cleanAfter(features[0], first.at.Add(-cleanBefore)) {
-		return time.Time{}, false
+	if s.cleanAfter(features[0], first.Add(-cleanBefore)) {
+		return 0, time.Time{}
 	}
-	until = last.at.Add(verdictDelay)
-	return until, now.Before(until)
+	return n, last
 }
 
 // isRecent reports whether other instances may not yet have told of the last crash.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -239,6 +239,24 @@
 	return Quarantine{}, false
 }
 
+// SpareLast reports whether a request must not be sent to the last target of its service
+// that has not crashed: two others have just crashed with it.
+func (s *Store) SpareLast(features []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, _ := s.suspicion(features, s.now(), restartTime)
+	return n >= minCrashesToSpare
+}
+
+// CrashedRecently reports whether an incarnation of a target crashed within the time that
+// a restart takes.
+func (s *Store) CrashedRecently(id CrashID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.crash(id)
+	return c != nil && s.now().Sub(c.at) < restartTime
+}
+
 // Changed returns a channel that receives a value after this instance has seen or
 // decided something that its peers do not know.
 func (s *Store) Changed() <-chan struct{} { return s.changed }
