quarantine: the new record stays when there are too many

With maxQuarantines records that end later, the record just decided was removed at once and decided again without end, under the lock. TestNewQuarantineIsKeptWhenThereAreTooMany did not end before.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -37,7 +37,7 @@
 type candidate struct {
 	parts   []string // sorted
 	crashes int
-	in      []appearance
+	in      []appearance // for an identity, the crashes that it is suspect of
 }
 
 // decide quarantines the sets of parts that the known crashes prove. The caller holds
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -49,6 +49,7 @@
 	return slices.ContainsFunc(c.suspects, func(x Suspect) bool { return ContainsAll(x.Shared, r.Parts) })
 }
 
+// explained reports whether a quarantine is the cause of a crash.
 func (s *Store) explained(c *crash) bool {
 	return s.explainedBy(c, func(*record) bool { return true })
 }
@@ -105,7 +106,7 @@
 	return min(maxHold, firstHold<<min(times-1, 10))
 }
 
-// put stores a record. If there are too many, the one that ends first is removed.
+// put stores a record. If there are too many, the other one that ends first is removed.
 func (s *Store) put(r *record) {
 	s.quarantines[key(r.Parts)] = r
 	if s.onBegin != nil && r.active(s.now()) {
@@ -116,7 +117,7 @@
 	}
 	var oldest *record
 	for _, x := range s.quarantines {
-		if oldest == nil || x.end().Before(oldest.end()) {
+		if x != r && (oldest == nil || x.end().Before(oldest.end())) {
 			oldest = x
 		}
 	}
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -187,3 +187,19 @@
 	assert.Assert(t, !p.refuses(sound))
 	assert.Equal(t, len(p.List()), 0)
 }
+
+// Guards against a decision that never ends because the new quarantine is the one that is
+// forgotten.
+func TestNewQuarantineIsKeptWhenThereAreTooMany(t *testing.T) {
+	p := newPlay()
+	for n := range maxQuarantines {
+		parts := []string{fmt.Sprint("part", n)}
+		p.put(&record{Quarantine: Quarantine{Parts: parts, Since: p.clock, Until: p.clock.Add(maxHold)}, changedAt: p.clock})
+	}
+	for range 3 {
+		p.crash([]string{killer})
+		p.serve(IdentityPrefix + "other")
+	}
+	assert.Assert(t, p.refuses(killer))
+	assert.Equal(t, len(p.quarantines), maxQuarantines)
+}
