forward, streamversion: a stream of a split route goes on at the service that began it

TestTakeUpReachesItsService failed before (200 for an unknown stream). The record names the service; records of split routes are always sent; an unknown stream of one is refused with 2013.

--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -140,14 +140,17 @@
 			route("short", manifest.Streaming, "llm", 2),
 			route("home", manifest.Idempotent, "core", 1),
 			route("open", manifest.Idempotent, "core", 1),
+			route("split", manifest.Streaming, "llm", 2),
 		},
-		Services: []manifest.Service{{Name: "core", MaxConns: 100}, {Name: "llm", MaxConns: 100, Engine: engine}},
+		Services: []manifest.Service{{Name: "core", MaxConns: 100}, {Name: "llm", MaxConns: 100, Engine: engine}, {Name: "llm2", MaxConns: 100, Engine: engine}},
 		Accounts: []manifest.ClientAccount{{Name: "account", Keys: []string{"key"}}},
 		Limits:   manifest.Limits{BodyBytes: 1000, HeaderBytes: 2000},
 	}
 	m.Routes[3].Resumable = true
 	m.Routes[4].Regions = []string{"s"}
 	m.Routes[5].Public = true
+	m.Routes[6].Resumable = true
+	m.Routes[6].Split = []manifest.Share{{Service: "llm", Weight: 1}, {Service: "llm2", Weight: 1}}
 	return m
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -40,10 +40,10 @@
 // before the first event is handled like that of a plain request.
 func (f *Forwarder) serveStream(ctx context.Context, w http.ResponseWriter, q *request) error {
 	r := &streamSession{f: f, q: q, out: w}
-	f.budget.recordRequest(q.service.Name, time.Now())
 	if err := f.requireVersion(ctx, q); err != nil {
 		return err
 	}
+	f.budget.recordRequest(q.service.Name, time.Now())
 	var resume *resumePoint
 	l := f.place(q, &r.attemptHistory)
 	for {
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -30,33 +30,41 @@
 	return first, first != "" || q.header.Get(f.config.Headers.LastEventID) != ""
 }
 
-// requireVersion sets the version that must continue the stream which the caller takes
-// up. If nobody remembers it, the service's only version has begun it; with several, the
-// request is refused, since what two versions write does not fit together.
+// requireVersion sets the service and the version that must continue the stream which the
+// caller takes up. If nobody remembers them, the only ones that there are have begun it;
+// with several, the request is refused, since what two of them write does not fit together.
 func (f *Forwarder) requireVersion(ctx context.Context, q *request) error {
 	first, ok := f.takesUp(q)
 	if !ok {
 		return nil
 	}
 	found := f.config.StreamVersions.Find(ctx, q.service.Name, first)
+	view, _ := f.config.Views.View()
 	if !found.Known {
-		view, _ := f.config.Views.View()
-		versions := slices.Concat(view.Versions(q.service.Name), found.Versions)
-		slices.Sort(versions)
-		versions = slices.Compact(versions)
-		if len(versions) > 1 {
-			f.config.Metrics.Counter("forward.version_unknown").Inc(1)
-			return resultcode.Newf(resultcode.StreamVersionUnknown, "it is not known which of the versions %q of %q began the stream of attempt %s", versions, q.service.Name, first)
-		}
-		if len(versions) == 1 {
-			q.version = &versions[0]
-		}
-		return nil
+		return f.requireOnlyVersion(q, first, slices.Concat(view.Versions(q.service.Name), found.Versions))
+	}
+	if service, ok := view.Manifest.Service(found.Service); ok && q.route.Leads(found.Service) {
+		q.service = service
 	}
 	q.version = &found.Version
-	if !f.table.hasVersion(q.service.Name, found.Version) {
+	if q.service.Name != found.Service || !f.table.hasVersion(found.Service, found.Version) {
 		f.config.Metrics.Counter("forward.version_gone").Inc(1)
-		return resultcode.Newf(resultcode.StreamVersionGone, "no target of %q runs version %q, which began the stream of attempt %s", q.service.Name, found.Version, first)
+		return resultcode.Newf(resultcode.StreamVersionGone, "the route leads to no target of %q with version %q, which began the stream of attempt %s", found.Service, found.Version, first)
+	}
+	return nil
+}
+
+// requireOnlyVersion is requireVersion for a stream that nobody remembers. versions are
+// those that the service has or had.
+func (f *Forwarder) requireOnlyVersion(q *request, first string, versions []string) error {
+	slices.Sort(versions)
+	versions = slices.Compact(versions)
+	if q.route.IsSplit() || len(versions) > 1 {
+		f.config.Metrics.Counter("forward.version_unknown").Inc(1)
+		return resultcode.Newf(resultcode.StreamVersionUnknown, "it is not known which of the versions %q of %q, or of another service of the route, began the stream of attempt %s", versions, q.service.Name, first)
+	}
+	if len(versions) == 1 {
+		q.version = &versions[0]
 	}
 	return nil
 }
@@ -75,7 +83,7 @@
 		first = q.id
 	}
 	if first != "" {
-		f.config.StreamVersions.Record(first, streamversion.Record{Service: e.service, Version: *q.version, Until: q.callerDeadline.Add(takeUpMargin)})
+		f.config.StreamVersions.Record(first, streamversion.Record{Service: e.service, Version: *q.version, Split: q.route.IsSplit(), Until: q.callerDeadline.Add(takeUpMargin)})
 	}
 }
 
--- a/internal/forward/version_test.go
+++ b/internal/forward/version_test.go
@@ -93,7 +93,12 @@
 // takeUp sends a request that takes up a stream after its third event.
 func (f *fixture) takeUp(t *testing.T, id, first string) (status int, body string) {
 	t.Helper()
-	resp, body, err := f.call(t, "POST", "/short/", "", "T-Id", id, "T-Resumes", first, "Last-Event-Id", "3")
+	return f.takeUpAt(t, "/short/", id, first)
+}
+
+func (f *fixture) takeUpAt(t *testing.T, path, id, first string) (status int, body string) {
+	t.Helper()
+	resp, body, err := f.call(t, "POST", path, "", "T-Id", id, "T-Resumes", first, "Last-Event-Id", "3")
 	assert.NilError(t, err)
 	return resp.StatusCode, body
 }
@@ -144,3 +149,27 @@
 	}
 	assert.Equal(t, len(x.seen())+len(y.seen()), 1)
 }
+
+// Guards against a stream of a split route that goes on at the other service.
+func TestTakeUpReachesItsService(t *testing.T) {
+	x, y := newFakeTarget(t, "i1", streamsEvents(9, 0)), newFakeTarget(t, "i2", streamsEvents(9, 0))
+	f := newFixture(t, "llm", x)
+	f.announce(t, y, "llm2", "r-a", fleet.Ready)
+	status, _ := f.takeUpAt(t, "/split/", "again", "unknown")
+	assert.Equal(t, status, http.StatusServiceUnavailable, "either service may have begun the stream")
+	assert.Equal(t, len(x.seen())+len(y.seen()), 0)
+	_, body, err := f.call(t, "POST", "/split/", "", "T-Id", "first")
+	assert.NilError(t, err)
+	assert.Equal(t, body, events(1, 9))
+	began, other := x, y
+	if len(x.seen()) == 0 {
+		began, other = y, x
+	}
+	for range takeUps {
+		status, body := f.takeUpAt(t, "/split/", "again", "first")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, events(4, 9))
+	}
+	assert.Equal(t, len(began.seen()), 1+takeUps)
+	assert.Equal(t, len(other.seen()), 0)
+}
--- a/internal/manifest/index.go
+++ b/internal/manifest/index.go
@@ -80,6 +80,22 @@
 	return s, ok
 }
 
+// Leads reports whether requests of the route may be sent to a service.
+func (r *Route) Leads(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// IsSplit reports whether requests of the route are sent to several services.
+func (r *Route) IsSplit() bool {
+	n := 0
+	for _, s := range r.Split {
+		if s.Weight > 0 {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // Pick selects one of the route's services by weight. For a random choice, point is
 // a random number in [0, 1).
 func (r *Route) Pick(point float64) string {
--- a/internal/streamversion/server.go
+++ b/internal/streamversion/server.go
@@ -52,8 +52,8 @@
 
 // Find returns what this instance knows of a stream and its service.
 func (s *Server) Find(_ context.Context, m *api.StreamVersionRequest) (*api.StreamVersionFinding, error) {
-	version, known := s.store.find(m.GetId())
-	return &api.StreamVersionFinding{Known: known, Version: version, Versions: s.versions(m.GetService())}, nil
+	r, known := s.store.find(m.GetId())
+	return &api.StreamVersionFinding{Known: known, Service: r.Service, Version: r.Version, Versions: s.versions(m.GetService())}, nil
 }
 
 func encodeRecord(id string, r Record, now time.Time) *api.StreamVersionRecord {
--- a/internal/streamversion/store.go
+++ b/internal/streamversion/store.go
@@ -19,6 +19,8 @@
 type Record struct {
 	Service string
 	Version string
+	// Split is set if the stream's route has several services.
+	Split bool
 	// Until is when no caller takes the stream up any more.
 	Until time.Time
 }
@@ -63,27 +65,31 @@
 
 // Finding is what is known of a stream that a caller takes up.
 type Finding struct {
-	// Version is the version that began the stream, if Known is set.
-	Version string
-	Known   bool
+	// Service and Version began the stream, if Known is set.
+	Service, Version string
+	Known            bool
 	// Versions holds further versions that targets of the service have run.
 	Versions []string
 }
 
 // Find returns what is known of a stream.
 func (s *Store) Find(_ context.Context, _, id string) Finding {
-	version, known := s.find(id)
-	return Finding{Version: version, Known: known}
+	r, known := s.find(id)
+	return findingOf(r, known)
+}
+
+func findingOf(r Record, known bool) Finding {
+	return Finding{Service: r.Service, Version: r.Version, Known: known}
 }
 
-func (s *Store) find(id string) (version string, known bool) {
+func (s *Store) find(id string) (r Record, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r, ok := s.records.Peek(id)
-	if !ok || !s.now().Before(r.Until) {
-		return "", false
+	r, known = s.records.Peek(id)
+	if !known || !s.now().Before(r.Until) {
+		return Record{}, false
 	}
-	return r.Version, true
+	return r, true
 }
 
 // Len returns the number of records.
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -97,16 +97,20 @@
 	tracker.Record("early", recordOf("v1"))
 	time.Sleep(2 * sendInterval)
 	assert.Equal(t, a.calls.Load(), int32(0), "with one version nothing has to be known")
-	announce(views, "i2", "v2")
+	split := recordOf("v1")
+	split.Split = true
+	tracker.Record("split", split)
 	awaitRecords(t, a, 1)
-	tracker.Record("late", recordOf("v2"))
+	announce(views, "i2", "v2")
 	awaitRecords(t, a, 2)
-	awaitRecords(t, b, 2)
+	tracker.Record("late", recordOf("v2"))
+	awaitRecords(t, a, 3)
+	awaitRecords(t, b, 3)
 	assert.Equal(t, c.store.Len(), 0, "two copies suffice")
 	a.http.Close()
 	restarted := startTracker(t, newTestViews(), controls)
-	assert.DeepEqual(t, restarted.Find(context.Background(), "llm", "early"), Finding{Version: "v1", Known: true})
-	assert.DeepEqual(t, restarted.Find(context.Background(), "llm", "late"), Finding{Version: "v2", Known: true})
+	assert.DeepEqual(t, restarted.Find(context.Background(), "llm", "early"), Finding{Service: "llm", Version: "v1", Known: true})
+	assert.DeepEqual(t, restarted.Find(context.Background(), "llm", "late"), Finding{Service: "llm", Version: "v2", Known: true})
 }
 
 // Guards against records that are lost because a control instance could not be reached.
--- a/internal/streamversion/tracker.go
+++ b/internal/streamversion/tracker.go
@@ -38,8 +38,9 @@
 	Addresses() []string
 }
 
-// Tracker keeps the streams of an entry instance. While a service has several versions it
-// gives its records to control instances; while there is one, nothing has to be known.
+// Tracker keeps the streams of an entry instance. While a service has several versions, or
+// a route several services, it gives its records to control instances; otherwise nothing
+// has to be known.
 type Tracker struct {
 	store      *Store
 	views      *fleet.ViewStore
@@ -62,8 +63,7 @@
 	}
 }
 
-// Record keeps a record here and, while the service has several versions, at control
-// instances.
+// Record keeps a record here and, while it is needed, at control instances.
 func (t *Tracker) Record(id string, r Record) {
 	t.store.Record(id, r)
 	t.mu.Lock()
@@ -72,7 +72,7 @@
 	if len(t.unsent) > maxTrackedRecords {
 		t.dropEnded()
 	}
-	if t.severalVersions(r.Service) {
+	if t.mustSend(r) {
 		select {
 		case t.changed <- struct{}{}:
 		default: // a batch is already due
@@ -91,9 +91,10 @@
 	}
 }
 
-func (t *Tracker) severalVersions(service string) bool {
+// mustSend reports whether a take-up of the stream cannot do without its record.
+func (t *Tracker) mustSend(r Record) bool {
 	view, _ := t.views.View()
-	return len(view.Versions(service)) > 1
+	return r.Split || len(view.Versions(r.Service)) > 1
 }
 
 // Run sends records to control instances until ctx ends.
@@ -116,14 +117,14 @@
 	}
 }
 
-// dueRecords returns the unsent records of services with several versions.
+// dueRecords returns the unsent records that must be sent.
 func (t *Tracker) dueRecords() map[string]Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dropEnded()
 	due := map[string]Record{}
 	for id, r := range t.unsent {
-		if t.severalVersions(r.Service) {
+		if t.mustSend(r) {
 			due[id] = r
 		}
 	}
@@ -172,8 +173,8 @@
 // Find returns what this instance knows of a stream and, if it does not know the version
 // that began it, what the control instances know.
 func (t *Tracker) Find(ctx context.Context, service, id string) Finding {
-	if version, known := t.store.find(id); known {
-		return Finding{Version: version, Known: true}
+	if r, known := t.store.find(id); known {
+		return findingOf(r, known)
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
@@ -186,7 +187,7 @@
 	for range addresses {
 		a := <-answers
 		if a.GetKnown() {
-			return Finding{Version: a.GetVersion(), Known: true}
+			return Finding{Service: a.GetService(), Version: a.GetVersion(), Known: true}
 		}
 		f.Versions = append(f.Versions, a.GetVersions()...)
 	}
