--- a/internal/streamversion/tracker.go
+++ b/internal/streamversion/tracker.go
@@ -22,6 +22,8 @@
 	// not occupy the control instances.
 	sendInterval         = 20 * time.Millisecond
 	sendIntervalPerEntry = time.Millisecond
+	// retryInterval replaces sendInterval while no control instance accepts records.
+	retryInterval = 200 * time.Millisecond
 	// copies is how many control instances, in different failure domains, get each record.
 	copies      = 2
 	sendTimeout = 400 * time.Millisecond
@@ -102,8 +104,11 @@
 	for {
 		view, viewChanged := t.views.View()
 		if batch := t.dueRecords(); len(batch) > 0 {
-			t.send(ctx, batch)
-			if !sleep.For(ctx, max(sendInterval, time.Duration(view.EntryCount())*sendIntervalPerEntry)) {
+			pause := max(sendInterval, time.Duration(view.EntryCount())*sendIntervalPerEntry)
+			if !t.send(ctx, batch) {
+				pause = max(pause, retryInterval)
+			}
+			if !sleep.For(ctx, pause) {
 				return
 			}
 			continue
@@ -132,8 +137,8 @@
 }
 
 // send gives a batch to the nearest control instances of different failure domains. The
-// records stay unsent if none accepts them.
-func (t *Tracker) send(ctx context.Context, batch map[string]Record) {
+// records stay unsent if none accepts them; send then returns false.
+func (t *Tracker) send(ctx context.Context, batch map[string]Record) bool {
 	m := &api.StreamVersionRecords{}
 	now := t.now()
 	for id, r := range batch {
@@ -151,7 +156,7 @@
 		accepted++
 	}
 	if accepted == 0 {
-		return
+		return false
 	}
 	t.metrics.Counter("streams.recorded").Inc(int64(len(batch)))
 	t.mu.Lock()
@@ -161,6 +166,7 @@
 			delete(t.unsent, id)
 		}
 	}
+	return true
 }
 
 func (t *Tracker) sendTo(ctx context.Context, address string, m *api.StreamVersionRecords) error {
