--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -19,16 +19,6 @@
 	certainCrashes = 5
 	// minRequests is how many requests, told apart by their own parts, must be suspects.
 	minRequests = 2
-	// certainRepeats is how many crashes suffice if several requests are equally suspect.
-	// Others that were repeated together with the crashing one are rarely in a fourth.
-	certainRepeats = 4
-	// verdictDelay is the time after a crash in which other instances tell which requests
-	// they lost with the target.
-	verdictDelay = 100 * time.Millisecond
-	// minCrashesToSpare is how many crashes keep a request from the last target of its
-	// service, until the others had restartTime to come back.
-	minCrashesToSpare = 2
-	restartTime       = 5 * time.Second
 	// cleanBefore is how long before its first crash a part's last success still counts.
 	cleanBefore = 2 * time.Second
 )
@@ -70,103 +60,29 @@
 // certainCrashes or more; otherwise the next crash will tell.
 func (s *Store) strongestParts() []candidate {
 	index := indexParts(s.openCrashes(s.explainedByParts), func(p string) bool { return !isIdentity(p) })
-	var best []candidate
-	for _, p := range slices.Sorted(maps.Keys(index)) {
-		c, ok := s.examine(p, index[p])
-		if !ok {
-			continue
-		}
-		switch {
-		case len(best) == 0 || c.crashes > best[0].crashes:
-			best = []candidate{c}
-		case c.crashes == best[0].crashes && !slices.ContainsFunc(best, func(b candidate) bool { return slices.Equal(b.parts, c.parts) }):
-			best = append(best, c)
-		}
-	}
+	best := mostCrashes(index, s.examine)
 	if len(best) > 1 && best[0].crashes < certainCrashes {
 		return nil
 	}
 	return best
 }
 
-// strongestIdentities returns the identities that are suspect of the most crashes, if
-// these suffice and a quarantine does not explain them all. Those that are suspect of the
-// same crashes are returned only if these are certainRepeats or more.
-func (s *Store) strongestIdentities(now time.Time) []candidate {
-	index := indexParts(s.openCrashes(s.explainedByParts), isIdentity)
+// mostCrashes returns the candidates with the most crashes, each set of parts once.
+func mostCrashes(index map[string][]appearance, examine func(p string, in []appearance) (candidate, bool)) []candidate {
 	var best []candidate
 	for _, p := range slices.Sorted(maps.Keys(index)) {
-		if !s.proven(p, index[p]) {
+		c, ok := examine(p, index[p])
+		if !ok {
 			continue
 		}
-		c := candidate{parts: []string{p}, crashes: len(index[p]), in: index[p]}
 		switch {
 		case len(best) == 0 || c.crashes > best[0].crashes:
 			best = []candidate{c}
-		case c.crashes == best[0].crashes:
+		case c.crashes == best[0].crashes && !slices.ContainsFunc(best, func(b candidate) bool { return slices.Equal(b.parts, c.parts) }):
 			best = append(best, c)
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(best), func(c candidate) bool {
-		return c.isRecent(now) || (c.crashes < certainRepeats && slices.ContainsFunc(best, c.rivals))
-	})
-}
-
-// proven reports whether the crashes suffice to quarantine an identity. Unlike requests
-// with a common part, repeats may have been sent to several targets at once.
-func (s *Store) proven(identity string, in []appearance) bool {
-	if len(in) < minCrashes {
-		return false
-	}
-	first := in[0]
-	open := slices.ContainsFunc(in, func(a appearance) bool { return !s.explained(a.crash) })
-	return open && !s.cleanAfter(identity, first.at.Add(-cleanBefore)) && s.cleanAfter(serviceKey(first.service), first.at)
-}
-
-// undecided returns until when a request is refused because its targets have just
-// crashed, and other instances may not yet have told what else was on them.
-func (s *Store) undecided(features []string, now time.Time) (until time.Time, ok bool) {
-	n, last := s.suspicion(features, now, verdictDelay)
-	until = last.Add(verdictDelay)
-	return until, n >= minCrashes && now.Before(until)
-}
-
-// suspicion returns of how many crashes a request is suspect and when the last one was;
-// 0 if no target has crashed within recent, or if the request was served since the first.
-func (s *Store) suspicion(features []string, now time.Time, recent time.Duration) (n int, last time.Time) {
-	anyRecent := slices.ContainsFunc(s.crashes, func(c *crash) bool { return now.Sub(c.at) < recent })
-	if !anyRecent || len(features) == 0 || !isIdentity(features[0]) {
-		return 0, time.Time{}
-	}
-	var first time.Time
-	for _, c := range s.crashes {
-		if !slices.ContainsFunc(c.suspects, func(x Suspect) bool { return slices.Contains(x.Shared, features[0]) }) {
-			continue
-		}
-		if n == 0 || c.at.Before(first) {
-			first = c.at
-		}
-		if n == 0 || c.at.After(last) {
-			last = c.at
-		}
-		n++
-	}
-	if s.cleanAfter(features[0], first.Add(-cleanBefore)) {
-		return 0, time.Time{}
-	}
-	return n, last
-}
-
-// isRecent reports whether other instances may not yet have told of the last crash.
-func (c candidate) isRecent(now time.Time) bool {
-	return now.Sub(c.in[len(c.in)-1].at) < verdictDelay
-}
-
-// rivals reports whether another candidate is suspect of a crash that c is suspect of.
-func (c candidate) rivals(other candidate) bool {
-	return !slices.Equal(c.parts, other.parts) && slices.ContainsFunc(c.in, func(a appearance) bool {
-		return slices.ContainsFunc(other.in, func(b appearance) bool { return a.crash == b.crash })
-	})
+	return best
 }
 
 // openCrashes returns the crashes that are not explained.
--- /dev/null
+++ b/internal/quarantine/identity.go
@@ -0,0 +1,119 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// IdentityPrefix begins the identity of a whole request, which its repeats have in common.
+// IDs of parts do not contain it.
+const IdentityPrefix = "request="
+
+// Conditions for the quarantine of a request. They answer callers that send one request
+// again and again, at any instance, which crashes each target that begins to run it.
+const (
+	// certainRepeats is how many crashes suffice if several requests are equally suspect.
+	// Others that were repeated together with the crashing one are rarely in a fourth.
+	certainRepeats = 4
+	// verdictDelay is the time after a crash in which other instances tell which requests
+	// they lost with the target.
+	verdictDelay = 100 * time.Millisecond
+	// minCrashesToSpare is how many crashes keep a request from the last target of its
+	// service, until the others had restartTime to come back.
+	minCrashesToSpare = 2
+	restartTime       = 5 * time.Second
+)
+
+// isIdentity reports whether a part is the identity of a request.
+func isIdentity(part string) bool { return strings.HasPrefix(part, IdentityPrefix) }
+
+// strongestIdentities returns the identities that are suspect of the most crashes, if
+// these suffice and a quarantine does not explain them all. Those that are suspect of the
+// same crashes are returned only if these are certainRepeats or more.
+func (s *Store) strongestIdentities(now time.Time) []candidate {
+	index := indexParts(s.openCrashes(s.explainedByParts), isIdentity)
+	best := mostCrashes(index, s.examineIdentity)
+	return slices.DeleteFunc(slices.Clone(best), func(c candidate) bool {
+		return c.isRecent(now) || (c.crashes < certainRepeats && slices.ContainsFunc(best, c.rivals))
+	})
+}
+
+// examineIdentity returns the candidate for an identity. It returns false if the evidence
+// does not suffice. Unlike requests with a common part, repeats may have been sent to
+// several targets at once.
+func (s *Store) examineIdentity(identity string, in []appearance) (candidate, bool) {
+	if len(in) < minCrashes {
+		return candidate{}, false
+	}
+	first := in[0]
+	open := slices.ContainsFunc(in, func(a appearance) bool { return !s.explained(a.crash) })
+	if !open || s.cleanAfter(identity, first.at.Add(-cleanBefore)) || !s.cleanAfter(serviceKey(first.service), first.at) {
+		return candidate{}, false
+	}
+	return candidate{parts: []string{identity}, crashes: len(in), in: in}, true
+}
+
+// undecided returns until when a request is refused because its targets have just
+// crashed, and other instances may not yet have told what else was on them.
+func (s *Store) undecided(features []string, now time.Time) (until time.Time, ok bool) {
+	n, last := s.suspicion(features, now, verdictDelay)
+	until = last.Add(verdictDelay)
+	return until, n >= minCrashes && now.Before(until)
+}
+
+// suspicion returns of how many crashes a request is suspect and when the last one was;
+// 0 if no target has crashed within recent, or if the request was served since the first.
+func (s *Store) suspicion(features []string, now time.Time, recent time.Duration) (n int, last time.Time) {
+	anyRecent := slices.ContainsFunc(s.crashes, func(c *crash) bool { return now.Sub(c.at) < recent })
+	if !anyRecent || len(features) == 0 || !isIdentity(features[0]) {
+		return 0, time.Time{}
+	}
+	var first time.Time
+	for _, c := range s.crashes {
+		if !slices.ContainsFunc(c.suspects, func(x Suspect) bool { return slices.Contains(x.Shared, features[0]) }) {
+			continue
+		}
+		if n == 0 || c.at.Before(first) {
+			first = c.at
+		}
+		if n == 0 || c.at.After(last) {
+			last = c.at
+		}
+		n++
+	}
+	if s.cleanAfter(features[0], first.Add(-cleanBefore)) {
+		return 0, time.Time{}
+	}
+	return n, last
+}
+
+// isRecent reports whether other instances may not yet have told of the last crash.
+func (c candidate) isRecent(now time.Time) bool {
+	return now.Sub(c.in[len(c.in)-1].at) < verdictDelay
+}
+
+// rivals reports whether another candidate is suspect of a crash that c is suspect of.
+func (c candidate) rivals(other candidate) bool {
+	return !slices.Equal(c.parts, other.parts) && slices.ContainsFunc(c.in, func(a appearance) bool {
+		return slices.ContainsFunc(other.in, func(b appearance) bool { return a.crash == b.crash })
+	})
+}
+
+// SpareLast reports whether a request must not be sent to the last target of its service
+// that has not crashed: two others have just crashed with it.
+func (s *Store) SpareLast(features []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, _ := s.suspicion(features, s.now(), restartTime)
+	return n >= minCrashesToSpare
+}
+
+// CrashedRecently reports whether an incarnation of a target crashed within the time that
+// a restart takes.
+func (s *Store) CrashedRecently(id CrashID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.crash(id)
+	return c != nil && s.now().Sub(c.at) < restartTime
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -43,10 +43,6 @@
 	decideInterval = 100 * time.Millisecond
 )
 
-// IdentityPrefix begins the identity of a whole request, which its repeats have in common.
-// IDs of parts do not contain it.
-const IdentityPrefix = "request="
-
 // CrashID identifies a crash: each incarnation of a target crashes at most once.
 type CrashID struct {
 	Target      string
@@ -201,9 +197,6 @@
 // parts contain no colon.
 func serviceKey(service string) string { return "service:" + service }
 
-// isIdentity reports whether a part is the identity of a request.
-func isIdentity(part string) bool { return strings.HasPrefix(part, IdentityPrefix) }
-
 // cleanTimes returns the map that holds a part's last success.
 func (s *Store) cleanTimes(part string) *lru.LRU[string, time.Time] {
 	if isIdentity(part) {
@@ -239,24 +232,6 @@
 	return Quarantine{}, false
 }
 
-// SpareLast reports whether a request must not be sent to the last target of its service
-// that has not crashed: two others have just crashed with it.
-func (s *Store) SpareLast(features []string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n, _ := s.suspicion(features, s.now(), restartTime)
-	return n >= minCrashesToSpare
-}
-
-// CrashedRecently reports whether an incarnation of a target crashed within the time that
-// a restart takes.
-func (s *Store) CrashedRecently(id CrashID) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.crash(id)
-	return c != nil && s.now().Sub(c.at) < restartTime
-}
-
 // Changed returns a channel that receives a value after this instance has seen or
 // decided something that its peers do not know.
 func (s *Store) Changed() <-chan struct{} { return s.changed }
