--- a/internal/forward/crashing_request_test.go
+++ b/internal/forward/crashing_request_test.go
@@ -54,6 +54,7 @@
 // crashPlay sends requests to instances that share targets, and counts the sound ones.
 type crashPlay struct {
 	fixtures []*fixture
+	streams  bool // the requests have prompts, and are answered with streams
 	begun    time.Time
 	length   time.Duration
 
@@ -71,7 +72,7 @@
 		status := 0
 		for try := 0; try <= retries; try++ {
 			f := p.fixtures[(n+try)%len(p.fixtures)]
-			resp, _, err := f.call(t, "POST", path, body, "T-Id", fmt.Sprintf("%s-%d-%d", kind, n, try))
+			resp, _, err := f.call(t, "POST", path, body, p.header(kind, n, try)...)
 			if err == nil {
 				status = resp.StatusCode
 			}
@@ -84,6 +85,14 @@
 	}
 }
 
+func (p *crashPlay) header(kind string, n, try int) []string {
+	header := []string{"T-Id", fmt.Sprintf("%s-%d-%d", kind, n, try)}
+	if p.streams {
+		header = append(header, "T-Parts", fmt.Sprintf("5a:50,%d:20", n))
+	}
+	return header
+}
+
 func (p *crashPlay) record(kind string, sentAt time.Time, served bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,13 +139,13 @@
 
 // playCrashing plays callers that repeat deadly requests beside sound ones, at instances
 // that share three targets, and checks what reaches the targets and what callers get.
-func playCrashing(t *testing.T, instances, callersEach int, path string, bodies ...string) {
+func playCrashing(t *testing.T, service string, instances, callersEach int, path string, bodies ...string) {
 	targets := newMortalTargets(t, 3)
-	p := &crashPlay{begun: time.Now(), length: 4 * time.Second, sound: map[string]int{}, served: map[string]int{}}
+	p := &crashPlay{streams: service == "llm", begun: time.Now(), length: 4 * time.Second, sound: map[string]int{}, served: map[string]int{}}
 	for range instances {
-		p.fixtures = append(p.fixtures, newFixture(t, "core"))
+		p.fixtures = append(p.fixtures, newFixture(t, service))
 	}
-	announceMortal(t, "core", targets, p.fixtures...)
+	announceMortal(t, service, targets, p.fixtures...)
 	linkEvidence(t, p.fixtures...)
 	var callers sync.WaitGroup
 	for _, body := range bodies {
@@ -146,14 +155,18 @@
 			})
 		}
 	}
+	repeated, once := "/read/", "/write/"
+	if p.streams {
+		repeated, once = "/short/", "/long/"
+	}
 	callers.Go(func() {
-		p.repeat(t, "lookup", 10*time.Millisecond, 1, func(n int) (string, string) { return fmt.Sprint("/read/", n), "" })
+		p.repeat(t, "repeatable", 10*time.Millisecond, 1, func(n int) (string, string) { return fmt.Sprint(repeated, n), "" })
 	})
 	callers.Go(func() {
-		p.repeat(t, "hot", 20*time.Millisecond, 1, func(int) (string, string) { return "/read/hot", "same" })
+		p.repeat(t, "hot", 20*time.Millisecond, 1, func(int) (string, string) { return repeated + "hot", "same" })
 	})
 	callers.Go(func() {
-		p.repeat(t, "write", 20*time.Millisecond, 0, func(n int) (string, string) { return fmt.Sprint("/write/", n), "pay" })
+		p.repeat(t, "protected", 20*time.Millisecond, 0, func(n int) (string, string) { return fmt.Sprint(once, n), "pay" })
 	})
 	callers.Wait()
 	for _, body := range bodies {
@@ -161,26 +174,32 @@
 		assert.Assert(t, late <= maxLateAttempts, "%s: %d attempts after the third crash, %d crashes", body, late, crashes)
 		assert.Equal(t, p.served[body], 0)
 	}
-	for _, kind := range []string{"lookup", "hot", "write"} {
+	for _, kind := range []string{"repeatable", "hot", "protected"} {
 		assert.Equal(t, p.served[kind], p.sound[kind], "%s: sound requests are served beside the crashing one", kind)
 	}
 }
 
 func TestRequestThatCrashesEachTargetStopsReachingThem(t *testing.T) {
 	t.Parallel()
-	playCrashing(t, 3, 2, "/read/deadly", deadlyBody)
+	playCrashing(t, "core", 3, 2, "/read/deadly", deadlyBody)
 }
 
 // Guards against repeats of several requests that hide each other, many at a time.
 func TestSeveralCrashingRequestsAreToldApart(t *testing.T) {
 	t.Parallel()
-	playCrashing(t, 6, 4, "/read/deadly", deadlyBody+"1", deadlyBody+"2")
+	playCrashing(t, "core", 6, 4, "/read/deadly", deadlyBody+"1", deadlyBody+"2")
 }
 
 // Guards against writes that crash targets: they are never repeated by an instance, but callers send them again.
 func TestWriteThatCrashesEachTargetStopsReachingThem(t *testing.T) {
 	t.Parallel()
-	playCrashing(t, 3, 2, "/write/deadly", deadlyBody)
+	playCrashing(t, "core", 3, 2, "/write/deadly", deadlyBody)
+}
+
+// Guards against streams that crash engines although no part of their prompts does.
+func TestStreamThatCrashesEachTargetStopsReachingThem(t *testing.T) {
+	t.Parallel()
+	playCrashing(t, "llm", 3, 2, "/short/deadly", deadlyBody)
 }
 
 // Guards against a caller that is told nothing useful when its request is refused.
