--- a/internal/loads/evidence.go
+++ b/internal/loads/evidence.go
@@ -17,10 +17,12 @@
 	// for lost ones and inform instances that have restarted.
 	evidenceInterval = time.Second
 	evidenceFanout   = 2
-	// askInterval is the time between two questions for evidence. An instance asks
-	// startAsks times after it has found peers, and while it is not listed.
-	askInterval = 500 * time.Millisecond
-	startAsks   = 4
+	// startAskInterval is the time between the first startAsks questions for evidence of an
+	// instance that has found peers, and askInterval between two later ones of an instance
+	// that is not listed.
+	startAskInterval = 500 * time.Millisecond
+	startAsks        = 4
+	askInterval      = 2 * time.Second
 	// minEvidenceGap is the minimum time between two datagrams to all peers.
 	minEvidenceGap = 20 * time.Millisecond
 )
@@ -39,7 +41,7 @@
 // most of those that know something do not repeat it. One that no control instance lists
 // goes on asking: nobody tells it anything, but callers may still use it.
 func (x *Exchange) shareEvidence(ctx context.Context) {
-	ask := time.NewTicker(askInterval)
+	ask := time.NewTicker(startAskInterval)
 	defer ask.Stop()
 	var repeat <-chan time.Time
 	asked := 0
@@ -52,6 +54,9 @@
 			if x.mustAsk(asked) && x.askForEvidence() {
 				asked++
 			}
+			if asked == startAsks {
+				ask.Reset(askInterval)
+			}
 			continue
 		case <-x.evidence.Changed():
 			peers = len(x.entries())
