--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,14 +35,7 @@
 	return ServiceVersion{Service: p.GetService(), Version: p.GetVersion()}
 }
 
-func (s *State) hasVersion(v ServiceVersion) bool {
-	for _, x := range s.Versions {
-		if x == v {
-			return true
-		}
-	}
-	return false
-}
+func (s *State) hasVersion(v ServiceVersion) bool { return slices.Contains(s.Versions, v) }
 
 // versionKeeper keeps the versions in the replicated state up to date: each control
 // instance tells the leader what it sees, and the leader commits changes.
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -20,13 +20,9 @@
 // then placed with this crash known.
 const crashCheckWait = 100 * time.Millisecond
 
-// features returns what quarantines are matched with: the identity of the request and the
-// parts of its prompt.
-func (q *request) features() []string { return append([]string{q.identity}, q.parts...) }
-
 // recordServed records that a target could bear the request.
 func (f *Forwarder) recordServed(q *request) {
-	f.config.Quarantine.RecordServed(q.service.Name, q.features())
+	f.config.Quarantine.RecordServed(q.service.Name, q.features)
 }
 
 // legStarted reports whether the target of the current leg has been answering for longer
@@ -52,7 +48,7 @@
 		return
 	}
 	lostAt := time.Now()
-	suspect := quarantine.NewSuspect(q.features(), o.lease.reservedAt)
+	suspect := quarantine.NewSuspect(q.features, o.lease.reservedAt)
 	checked := make(chan struct{})
 	go func() {
 		defer close(checked)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -198,6 +198,9 @@
 	parts   []string // IDs of the prompt's parts; the last one is the request's own
 	// identity is what all repeats of the request have in common; known once the body is read.
 	identity string
+	// features holds the identity and the parts, with which quarantines are matched. It must
+	// not be modified.
+	features []string
 	priority int
 }
 
@@ -260,6 +263,7 @@
 	}
 	release, err := f.readBody(w, q, r, limit)
 	q.identity = identityOf(q)
+	q.features = append([]string{q.identity}, q.parts...)
 	return q, release, err
 }
 
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -189,7 +189,7 @@
 // that target; nil if there is none.
 func (m *mover) tryMove(ctx context.Context, exclude []*endpoint) (*handoff, *endpoint, error) {
 	q, source := m.streamSession.q, m.source.endpoint
-	if _, found := m.f.config.Quarantine.Match(q.features()); found {
+	if _, found := m.f.config.Quarantine.Match(q.features); found {
 		return nil, nil, nil // the destination would begin the run and crash
 	}
 	l := m.f.table.acquireLease(&demand{
--- a/internal/forward/pending.go
+++ b/internal/forward/pending.go
@@ -29,7 +29,7 @@
 // the context as it is.
 func (p *pendingAttempts) begin(ctx context.Context, q *request) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &pendingAttempt{features: q.features(), cancel: cancel}
+	a := &pendingAttempt{features: q.features, cancel: cancel}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.attempts == nil {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -10,12 +10,12 @@
 // place reserves capacity for the next attempt of a request. It returns nil if no target
 // can accept the request, or must not: the reason is then in the history.
 func (f *Forwarder) place(q *request, a *attemptHistory) *lease {
-	if found, ok := f.config.Quarantine.Match(q.features()); ok {
+	if found, ok := f.config.Quarantine.Match(q.features); ok {
 		f.config.Metrics.Counter("quarantine.refused").Inc(1)
 		a.lastErr = quarantinedError(found).WithRetryAfter(time.Until(found.Until))
 		return nil
 	}
-	if f.config.Quarantine.SpareLast(q.features()) && f.isLastTarget(q) {
+	if f.config.Quarantine.SpareLast(q.features) && f.isLastTarget(q) {
 		f.config.Metrics.Counter("quarantine.refused").Inc(1)
 		a.lastErr = resultcode.Newf(resultcode.RequestQuarantined, "two targets of %q have just crashed with this request (%s), and one is left", q.service.Name, q.identity).
 			WithRetryAfter(pauseLastTarget)
--- a/internal/streamversion/store.go
+++ b/internal/streamversion/store.go
@@ -91,10 +91,3 @@
 	}
 	return r, true
 }
-
-// Len returns the number of records.
-func (s *Store) Len() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.records.Len()
-}
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -19,6 +19,13 @@
 	"github.com/endivetrack/endivetrack/internal/manifest"
 )
 
+// Len returns the number of records.
+func (s *Store) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records.Len()
+}
+
 // testControl is a control instance at a loopback address.
 type testControl struct {
 	*Server
