--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -119,6 +119,8 @@
 	executionLog  *executionLog
 	size          Size
 	networkPrefix string // first three octets of the addresses of all processes and targets
+	// crashesOn is passed to each target that starts; nil if no request crashes targets.
+	crashesOn func(t *target, body []byte) bool
 
 	mu             sync.Mutex
 	targets        []*target
@@ -131,7 +133,7 @@
 	if o.Size.Controls < seedControlCount || o.Size.Controls > maxControls || o.Size.Entries > maxEntries {
 		return nil, fmt.Errorf("a deployment has %d to %d control and up to %d entry instances", seedControlCount, maxControls, maxEntries)
 	}
-	d := &deployment{size: o.Size, networkPrefix: o.NetworkPrefix, executionLog: &executionLog{}}
+	d := &deployment{size: o.Size, networkPrefix: o.NetworkPrefix, executionLog: &executionLog{}, crashesOn: o.crashesOn}
 	var seeds []platformtest.Instance
 	for i := range o.Size.Controls {
 		p := locations[i%len(locations)]
@@ -212,17 +214,22 @@
 	return nil
 }
 
-// addTarget starts one more target.
+// addTarget starts one more target, of each service in turn.
 func (d *deployment) addTarget() (*target, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := d.startedTargets
-	d.startedTargets++
 	service := plainService
-	if n%2 == 0 {
+	if d.startedTargets%2 == 0 {
 		service = modelService
 	}
-	t, err := startTarget(fmt.Sprintf("target-%d", n+1), service, locations[(n/2)%len(locations)].domain, fmt.Sprintf("%s.%d", d.networkPrefix, targetOctet), d.executionLog, d.client)
+	return d.addTargetOf(service)
+}
+
+// addTargetOf starts one more target of a service. The caller holds d.mu.
+func (d *deployment) addTargetOf(service string) (*target, error) {
+	n := d.startedTargets
+	d.startedTargets++
+	t, err := startTarget(fmt.Sprintf("target-%d", n+1), service, locations[(n/2)%len(locations)].domain, fmt.Sprintf("%s.%d", d.networkPrefix, targetOctet), d.executionLog, d.client, d.crashesOn)
 	if err == nil {
 		d.targets = append(d.targets, t)
 	}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -35,6 +35,8 @@
 	// NetworkPrefix is the first three octets of the loopback addresses.
 	// Concurrent runs need different prefixes.
 	NetworkPrefix string
+	// crashesOn makes targets crash by what they are sent; see deployment.
+	crashesOn func(t *target, body []byte) bool
 }
 
 // Result is the outcome of a run.
--- a/standin/soak/target.go
+++ b/standin/soak/target.go
@@ -54,6 +54,9 @@
 	executionLog *executionLog
 	client       *platformtest.Client
 	relay        *netfault.Relay
+	// crashesOn reports whether the target's process ends when it begins to run a request
+	// with the body; nil if no request crashes it.
+	crashesOn func(t *target, body []byte) bool
 
 	server *http.Server
 	stop   context.CancelFunc
@@ -65,7 +68,7 @@
 
 // startTarget starts a target under a new incarnation. The target announces itself
 // until it is stopped.
-func startTarget(id, service, domain, ip string, l *executionLog, client *platformtest.Client) (*target, error) {
+func startTarget(id, service, domain, ip string, l *executionLog, client *platformtest.Client, crashesOn func(*target, []byte) bool) (*target, error) {
 	serverListener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
@@ -85,7 +88,7 @@
 		self: platformtest.Target{
 			ID: id, Service: service, Address: relayListener.Addr().String(), FailureDomain: domain, Slots: targetSlots, Incarnation: time.Now(),
 		},
-		executionLog: l, client: client, relay: netfault.NewRelay(relayListener, serverListener.Addr().String()), stop: stop,
+		executionLog: l, client: client, crashesOn: crashesOn, relay: netfault.NewRelay(relayListener, serverListener.Addr().String()), stop: stop,
 	}
 	t.server = &http.Server{Handler: t, ConnContext: listener.ConnContext, ReadHeaderTimeout: time.Second}
 	t.done.Go(func() { _ = t.server.Serve(listener) }) // Serve returns when crash closes the server
@@ -114,8 +117,8 @@
 // crash stops the target without any announcement.
 func (t *target) crash() {
 	t.stop()
+	_ = t.relay.Close() // first, so that nobody can connect once a connection is lost
 	_ = t.server.Close()
-	_ = t.relay.Close()
 	t.done.Wait()
 }
 
@@ -147,6 +150,9 @@
 	if err != nil {
 		return // an incomplete request is not executed
 	}
+	if t.crashesOn != nil && t.crashesOn(t, body) {
+		panic(http.ErrAbortHandler)
+	}
 	t.executionLog.add(execution{
 		id: id, target: t.self.ID, domain: t.self.FailureDomain, service: t.self.Service, arrivedAt: arrivalTime(r),
 	})
