quarantine, fleet: quarantines survive a restart of all instances

Cause: the quarantine was only in the memory of entry instances, and the peers that an instance asks when it starts had forgotten it too. Class: state that outlives the processes that hold it, as with the versions of streams. Fix: entry instances report each quarantine and its end to a control instance, which commits it through the leader; watchers get it with the replicated state, before a manifest to serve by. States of a record are ordered by how often it began and whether it was lifted, not by clocks.

--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -25,6 +25,8 @@
 	// Versions lists the software versions that targets run, or ran until versionRetention
 	// ago. A stream that nobody remembers may have begun at any version of its service.
 	Versions []ServiceVersion
+	// Quarantines lists what crashes targets, in the order of the last changes.
+	Quarantines []QuarantineRecord
 }
 
 // Document decompresses and returns the manifest document as it was accepted.
@@ -92,6 +94,14 @@
 			return nil
 		}
 		next.Versions = slices.DeleteFunc(slices.Clone(next.Versions), func(x ServiceVersion) bool { return x == v })
+	case *api.FleetChange_PutQuarantine:
+		if !next.putQuarantine(quarantineFromProto(c.PutQuarantine)) {
+			return nil
+		}
+	case *api.FleetChange_RemoveQuarantine:
+		if !next.removeQuarantine(quarantineFromProto(c.RemoveQuarantine)) {
+			return nil
+		}
 	default:
 		return nil
 	}
@@ -132,6 +142,9 @@
 	for _, v := range s.Versions {
 		p.Versions = append(p.Versions, v.toProto())
 	}
+	for i := range s.Quarantines {
+		p.Quarantines = append(p.Quarantines, quarantineToProto(&s.Quarantines[i]))
+	}
 	return p
 }
 
@@ -140,6 +153,9 @@
 	for _, v := range p.GetVersions() {
 		s.Versions = append(s.Versions, serviceVersionFromProto(v))
 	}
+	for _, q := range p.GetQuarantines() {
+		s.Quarantines = append(s.Quarantines, quarantineFromProto(q))
+	}
 	return s
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -35,6 +35,7 @@
 	registry      *Registry
 	watchers      *Watchers
 	versions      *versionKeeper
+	commits       backgroundCommits
 	epoch         string
 	address       string // this instance's address for calls from other instances
 	region        string
@@ -73,7 +74,7 @@
 		registry: NewRegistry(c.AnnouncementInterval, c.Now),
 		watchers: NewWatchers(c.Now),
 	}
-	s.versions = newVersionKeeper(s)
+	s.versions, s.commits.server = newVersionKeeper(s), s
 	return s
 }
 
@@ -100,6 +101,7 @@
 		case <-tick.C:
 			s.registry.Sweep()
 			s.versions.sweep(ctx)
+			s.forgetQuarantines(ctx)
 		}
 	}
 }
@@ -145,6 +147,9 @@
 	return status.LeaderAddress, status.LeaderAddress != "" && status.LeaderAddress != s.address
 }
 
+// leads reports whether this instance leads the group.
+func (s *Server) leads() bool { return s.log.Status().LeaderAddress == s.address }
+
 // controlAddresses returns the internal addresses of all control instances,
 // including this one, sorted.
 func (s *Server) controlAddresses() []string {
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/endivetrack/endivetrack/api"
 )
 
@@ -46,7 +44,6 @@
 	lastSeen map[ServiceVersion]seenVersion
 	// leaderSince is when this instance began to lead the group; zero if it does not.
 	leaderSince time.Time
-	committing  bool
 }
 
 type seenVersion struct {
@@ -74,13 +71,13 @@
 }
 
 // sweep tells the leader of the versions seen here or, at the leader, commits the changes
-// of the state. At most one commit is in progress.
+// of the state.
 func (k *versionKeeper) sweep(ctx context.Context) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.server.now()
 	maps.DeleteFunc(k.lastSeen, func(_ ServiceVersion, s seenVersion) bool { return now.Sub(s.at) > versionRetention })
-	if k.server.log.Status().LeaderAddress != k.server.address {
+	if !k.server.leads() {
 		k.leaderSince = time.Time{}
 		k.tellOthers(now)
 		return
@@ -88,10 +85,7 @@
 	if k.leaderSince.IsZero() {
 		k.leaderSince = now
 	}
-	if changes := k.dueChanges(now); len(changes) > 0 && !k.committing {
-		k.committing = true
-		go k.commit(ctx, changes)
-	}
+	k.server.commits.start(ctx, k.dueChanges(now))
 }
 
 // tellOthers relays each version that the leader may not know. The caller holds k.mu.
@@ -135,22 +129,3 @@
 	}
 	return changes
 }
-
-func (k *versionKeeper) commit(ctx context.Context, changes []*api.FleetChange) {
-	defer func() {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		k.committing = false
-	}()
-	for _, change := range changes {
-		command, err := proto.Marshal(change)
-		if err == nil {
-			err = k.server.Commit(ctx, command)
-		}
-		if err != nil {
-			k.server.metrics.Counter("fleet.version_not_committed").Inc(1)
-			return // the next sweep tries again
-		}
-		k.server.logger.Info().Stringer("change", change).Msg("software versions")
-	}
-}
--- a/internal/fleet/versions_test.go
+++ b/internal/fleet/versions_test.go
@@ -33,6 +33,19 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
 }
 
+// awaitCommits waits until the changes that are due have been committed.
+func (c *testControl) awaitCommits(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		c.commits.mu.Lock()
+		defer c.commits.mu.Unlock()
+		if !c.commits.busy {
+			return poll.Success()
+		}
+		return poll.Continue("commit in progress")
+	})
+}
+
 // Guards against a stream that is taken up at the wrong version after all instances have
 // restarted, when the targets of its version have left or have not announced themselves again.
 func TestVersionsSurviveARestartOfEverything(t *testing.T) {
@@ -86,14 +99,7 @@
 	ctx := context.Background()
 	sweep := func() {
 		c.versions.sweep(ctx)
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			c.versions.mu.Lock()
-			defer c.versions.mu.Unlock()
-			if !c.versions.committing {
-				return poll.Success()
-			}
-			return poll.Continue("commit in progress")
-		})
+		c.awaitCommits(t)
 	}
 	c.versions.seen("s", "v1")
 	sweep()
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -34,6 +34,9 @@
 	// instance sends callers. They share the targets.
 	Entries map[string]Watcher
 
+	// Quarantines holds those of the replicated state. The caller must not modify the list.
+	Quarantines []QuarantineRecord
+
 	stateVersions []ServiceVersion // versions of the replicated state
 
 	serving  map[string]bool     // names of the services with a usable target
@@ -200,7 +203,7 @@
 		return false
 	}
 	s.newestManifestVersion = max(s.newestManifestVersion, state.ManifestVersion)
-	next.Index, next.stateVersions = state.Index, state.Versions
+	next.Index, next.stateVersions, next.Quarantines = state.Index, state.Versions, state.Quarantines
 	next.OutOfService = map[string]bool{}
 	for _, d := range state.OutOfService {
 		next.OutOfService[d] = true
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -87,6 +87,7 @@
 	go forwarder.Run(background)
 	go exchange.Run(background)
 	go streams.Run(background)
+	go quarantine.NewReplicator(quarantined, views, follower, env.PeerClient, env.Metrics).Run(background)
 	go c.watchReloads(background, env, follower.SetSeeds)
 
 	s := newServers()
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/age"
+	"github.com/endivetrack/endivetrack/internal/fleet"
 )
 
 const (
@@ -98,9 +99,16 @@
 }
 
 func encodeRecord(r *record, now time.Time) *api.FleetQuarantine {
+	q := r.replicated()
+	m := encodeReport(&q, now)
+	m.ChangedMs = age.Of(r.changedAt, now)
+	return m
+}
+
+// encodeReport encodes a record for a control instance.
+func encodeReport(q *fleet.QuarantineRecord, now time.Time) *api.FleetQuarantine {
 	return &api.FleetQuarantine{
-		Parts: r.Parts, SinceMs: age.Of(r.Since, now), LeftMs: age.Millis(r.Until.Sub(now)), ChangedMs: age.Of(r.changedAt, now),
-		Times: uint32(r.Times), Lifted: r.lifted,
+		Parts: q.Parts, SinceMs: age.Of(q.Since, now), LeftMs: age.Millis(q.Until.Sub(now)), Times: uint32(q.Times), Lifted: q.Lifted,
 	}
 }
 
@@ -183,15 +191,20 @@
 	if known != nil && !isNewer(m.GetLifted(), changedAt, known) {
 		return
 	}
-	if s.supersededByPart(parts, now) {
+	s.adopt(&record{lifted: m.GetLifted(), changedAt: changedAt, Quarantine: Quarantine{
+		Parts: parts, Since: age.Time(now, m.GetSinceMs()), Until: now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond), Times: int(m.GetTimes()),
+	}}, "peer", now)
+}
+
+// adopt stores a record that another instance has decided, unless a quarantine of fewer of
+// its parts is in force. source says where it is from.
+func (s *Store) adopt(r *record, source string, now time.Time) {
+	if s.supersededByPart(r.Parts, now) {
 		return
 	}
-	r := &record{lifted: m.GetLifted(), changedAt: changedAt, Quarantine: Quarantine{
-		Parts: parts, Since: age.Time(now, m.GetSinceMs()), Until: now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond), Times: int(m.GetTimes()),
-	}}
 	if r.active(now) {
-		s.removeSupersets(parts)
-		s.log.Warn().Strs("parts", parts).Int("times", r.Times).Msg("quarantined by a peer")
+		s.removeSupersets(r.Parts)
+		s.log.Warn().Strs("parts", r.Parts).Int("times", r.Times).Str("source", source).Msg("quarantined elsewhere")
 	}
 	s.put(r)
 	s.updateGauge(now)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,7 +11,8 @@
 // knows what any of them has seen.
 //
 // Invariant: a quarantine holds only while no request with all of its parts is
-// served. Crash case: an instance that restarts learns the quarantines from its peers.
+// served. Crash case: quarantines are in the replicated state, so that they survive a
+// restart of all instances; crashes that prove nothing yet are learned from peers only.
 package quarantine
 
 import (
@@ -103,11 +104,12 @@
 	decidedAt       time.Time
 	onBegin         func(parts []string)
 	changed         chan struct{}
+	recordsChanged  chan struct{} // receives a value after a quarantine has changed
 }
 
 // New returns an empty Store. now returns the current time.
 func New(log zerolog.Logger, metrics tally.Scope, now func() time.Time) *Store {
-	return &Store{log: log, metrics: metrics, now: now, clean: newTimes(maxCleanParts), cleanIdentities: newTimes(maxCleanIdentities), quarantines: map[string]*record{}, changed: make(chan struct{}, 1)}
+	return &Store{log: log, metrics: metrics, now: now, clean: newTimes(maxCleanParts), cleanIdentities: newTimes(maxCleanIdentities), quarantines: map[string]*record{}, changed: make(chan struct{}, 1), recordsChanged: make(chan struct{}, 1)}
 }
 
 // newTimes returns a map that forgets the entries that were set least recently.
@@ -236,9 +238,11 @@
 // decided something that its peers do not know.
 func (s *Store) Changed() <-chan struct{} { return s.changed }
 
-func (s *Store) notifyChanged() {
+func (s *Store) notifyChanged() { notify(s.changed) }
+
+func notify(changed chan<- struct{}) {
 	select {
-	case s.changed <- struct{}{}:
+	case changed <- struct{}{}:
 	default: // a change is already announced
 	}
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -109,6 +109,7 @@
 // put stores a record. If there are too many, the other one that ends first is removed.
 func (s *Store) put(r *record) {
 	s.quarantines[key(r.Parts)] = r
+	notify(s.recordsChanged)
 	if s.onBegin != nil && r.active(s.now()) {
 		go s.onBegin(r.Parts)
 	}
@@ -156,6 +157,7 @@
 
 func (s *Store) lift(r *record, now time.Time, reason string) {
 	r.lifted, r.changedAt = true, now
+	notify(s.recordsChanged)
 	s.metrics.Counter("quarantine.lifted").Inc(1)
 	s.log.Warn().Strs("parts", r.Parts).Str("reason", reason).Msg("quarantine lifted")
 	s.updateGauge(now)
