--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -64,7 +64,7 @@
 }
 
 // startTracker runs the tracker of an entry instance until the test ends.
-func startTracker(t *testing.T, views *fleet.ViewStore, controls addresses) *Tracker {
+func startTracker(t *testing.T, views *fleet.ViewStore, controls Controls) *Tracker {
 	tracker := NewTracker(views, controls, http.DefaultClient, tally.NoopScope, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
