streamversion, fleet: running streams are known to control instances that have restarted

What callers saw: take-ups of streams that ran all the time were refused with 2013, if their entry instance died after the control instances had restarted, even one after the other. Cause: entry instances sent each record once and did not notice that the process which had accepted it was gone. Fix: the follower, which already tells processes of a control instance apart by their epoch, signals each new one; the tracker then sends the records of all running streams again, in the usual batches.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -55,6 +55,7 @@
 	polling     map[string]bool
 	reachable   map[string]location // the control instances that respond
 	wake        chan struct{}       // receives a value when a poll loop may have to be started
+	started     chan struct{}       // receives a value when a control instance has started
 	workers     sync.WaitGroup
 }
 
@@ -63,7 +64,7 @@
 func NewFollower(self Watcher, seeds []string, views *ViewStore, peerClient *http.Client, logger zerolog.Logger, metrics tally.Scope) *Follower {
 	f := &Follower{
 		views: views, peerClient: peerClient, logger: logger, metrics: metrics, self: self, seeds: seeds,
-		lastListed: map[string]time.Time{}, polling: map[string]bool{}, reachable: map[string]location{}, wake: make(chan struct{}, 1),
+		lastListed: map[string]time.Time{}, polling: map[string]bool{}, reachable: map[string]location{}, wake: make(chan struct{}, 1), started: make(chan struct{}, 1),
 	}
 	f.selfContext, f.endSelf = context.WithCancel(context.Background())
 	return f
@@ -83,10 +84,17 @@
 }
 
 // wakeUp makes Run check which control instances have no poll loop.
-func (f *Follower) wakeUp() {
+func (f *Follower) wakeUp() { notify(f.wake) }
+
+// Started returns a channel that receives a value after this instance has first reached a
+// control instance, or a new process of one: it remembers nothing that it was told before.
+func (f *Follower) Started() <-chan struct{} { return f.started }
+
+// notify sends a value unless one is waiting to be received.
+func notify(c chan<- struct{}) {
 	select {
-	case f.wake <- struct{}{}:
-	default: // a check is already due
+	case c <- struct{}{}:
+	default:
 	}
 }
 
@@ -237,8 +245,12 @@
 		announcements = append(announcements, announcementFromProto(a))
 	}
 	f.views.Merge(state, announcements)
+	isNew := resp.GetEpoch() != p.epoch
 	p.epoch, p.cursor = resp.GetEpoch(), resp.GetCursor()
 	f.markReachable(p.control, f.locationOf(resp))
+	if isNew {
+		notify(f.started)
+	}
 	if resp.GetEntriesVersion() != p.entriesVersion {
 		entries := make([]Watcher, 0, len(resp.GetEntries()))
 		for _, w := range resp.GetEntries() {
--- a/internal/streamversion/store.go
+++ b/internal/streamversion/store.go
@@ -3,8 +3,8 @@
 //
 // Invariant: a stream is never said to have another version than the one that began it;
 // it may be forgotten. Crash case: entry instances keep their records in memory and give
-// them to control instances in several failure domains; a stream that nobody remembers is
-// continued only if its service has one version.
+// them to control instances in several failure domains, again to those that have restarted;
+// a stream that nobody remembers is continued only if its service has one version.
 package streamversion
 
 import (
@@ -63,6 +63,20 @@
 	}
 }
 
+// all returns the records that have not ended.
+func (s *Store) all() map[string]Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropEnded()
+	out := map[string]Record{}
+	for _, id := range s.records.Keys() {
+		if r, ok := s.records.Peek(id); ok && s.now().Before(r.Until) {
+			out[id] = r
+		}
+	}
+	return out
+}
+
 // Finding is what is known of a stream that a caller takes up.
 type Finding struct {
 	// Service and Version began the stream, if Known is set.
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -55,6 +55,9 @@
 func (a addresses) Nearest() []string   { return a }
 func (a addresses) Addresses() []string { return a }
 
+// Started returns a channel that never receives a value.
+func (a addresses) Started() <-chan struct{} { return nil }
+
 func newTestViews() *fleet.ViewStore {
 	return fleet.NewViewStore(func([]byte) (*manifest.Manifest, error) { return &manifest.Manifest{}, nil }, time.Now)
 }
--- a/internal/streamversion/tracker.go
+++ b/internal/streamversion/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -38,6 +39,8 @@
 	Nearest() []string
 	// Addresses returns all of them, reachable or not.
 	Addresses() []string
+	// Started receives a value after one of them has started without any record.
+	Started() <-chan struct{}
 }
 
 // Tracker keeps the streams of an entry instance. While a service has several versions, or
@@ -93,6 +96,15 @@
 	}
 }
 
+// sendAllAgain makes the records of all running streams unsent.
+func (t *Tracker) sendAllAgain() {
+	running := t.store.all()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.Copy(t.unsent, running)
+	t.dropEnded()
+}
+
 // mustSend reports whether a take-up of the stream cannot do without its record.
 func (t *Tracker) mustSend(r Record) bool {
 	view, _ := t.views.View()
@@ -102,6 +114,11 @@
 // Run sends records to control instances until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
 	for {
+		select {
+		case <-t.controls.Started():
+			t.sendAllAgain()
+		default:
+		}
 		view, viewChanged := t.views.View()
 		if batch := t.dueRecords(); len(batch) > 0 {
 			pause := max(sendInterval, time.Duration(view.EntryCount())*sendIntervalPerEntry)
@@ -118,6 +135,8 @@
 			return
 		case <-t.changed:
 		case <-viewChanged:
+		case <-t.controls.Started():
+			t.sendAllAgain()
 		}
 	}
 }
