standin, Makefile: process tests run one after the other, and say what the machine gave them

The soak's own caller, whose timer is 5 s, ended after 6.785 s: the test process did not run for 1.8 s. What the logs of that run cannot tell is why. So failures now print how late sleeps ended, how long syncs took, and the share of stolen and idle processor time (standin/hostwatch). make test ran up to eight packages at once beside deployments of 15 to 45 processes (load average 24 at the end of a run); the two packages now run after the others, one after the other.

--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,17 @@
 build:
 	$(GO) build -o $(BIN)/ ./cmd/... ./standin/cmd/... ./bench/cmd/...
 
+# Packages whose tests run a few dozen processes each and check time limits.
+PROCESS_TESTS := ./standin/faults ./standin/soak
+
 # The command that CI runs: format check, linters and tests. It does not need the
-# platform's test kit.
+# platform's test kit. The process tests run after the others and one after the other:
+# beside each other and the compiler they starve for processor time.
 test: fmt-check lint
-	$(GO) test -timeout 600s ./...
+	@failed=0; \
+	$(GO) test -timeout 600s $$($(GO) list ./... | grep -vxF "$$($(GO) list $(PROCESS_TESTS))") || failed=1; \
+	$(GO) test -timeout 600s -p 1 $(PROCESS_TESTS) || failed=1; \
+	exit $$failed
 
 fmt-check:
 	@out=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go')); if [ -n "$$out" ]; then echo "gofmt differs:"; echo "$$out"; exit 1; fi
--- a/standin/cmd/standin-soak/main.go
+++ b/standin/cmd/standin-soak/main.go
@@ -94,6 +94,9 @@
 	for _, v := range r.Violations {
 		text += "  violation: " + v + "\n"
 	}
+	if len(r.Violations) > 0 {
+		text += "  " + r.Host.String() + "\n"
+	}
 	if err != nil {
 		text += "  error: " + err.Error() + "\n"
 	}
--- a/standin/faults/run.go
+++ b/standin/faults/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/endivetrack/endivetrack/standin/cluster"
+	"github.com/endivetrack/endivetrack/standin/hostwatch"
 	"github.com/endivetrack/endivetrack/standin/loadgen"
 	"github.com/endivetrack/endivetrack/standin/verify"
 )
@@ -92,16 +93,19 @@
 	if err := r.start(ctx); err != nil {
 		return r.result, fmt.Errorf("start: %w", err)
 	}
+	watch := hostwatch.Start(dir)
 	report, err := r.runLoad(ctx)
 	if err != nil {
+		watch.Stop()
 		return r.result, err
 	}
 	r.checkRecovery(ctx)
 	r.checkGuarantees(ctx, report)
+	host := watch.Stop()
 	if len(r.result.Violations) == 0 {
 		err = os.RemoveAll(dir)
 	} else {
-		r.violation("files: %s", dir)
+		r.violation("files: %s; %v", dir, host)
 	}
 	return r.result, err
 }
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -118,6 +118,7 @@
 	client        *platformtest.Client
 	executionLog  *executionLog
 	size          Size
+	dir           string // directory of the deployment's files
 	networkPrefix string // first three octets of the addresses of all processes and targets
 	// crashesOn is passed to each target that starts; nil if no request crashes targets.
 	crashesOn func(t *target, body []byte) bool
@@ -133,7 +134,7 @@
 	if o.Size.Controls < seedControlCount || o.Size.Controls > maxControls || o.Size.Entries > maxEntries {
 		return nil, fmt.Errorf("a deployment has %d to %d control and up to %d entry instances", seedControlCount, maxControls, maxEntries)
 	}
-	d := &deployment{size: o.Size, networkPrefix: o.NetworkPrefix, executionLog: &executionLog{}, crashesOn: o.crashesOn}
+	d := &deployment{size: o.Size, dir: dir, networkPrefix: o.NetworkPrefix, executionLog: &executionLog{}, crashesOn: o.crashesOn}
 	var seeds []platformtest.Instance
 	for i := range o.Size.Controls {
 		p := locations[i%len(locations)]
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/endivetrack/endivetrack/platform/platformtest"
+	"github.com/endivetrack/endivetrack/standin/hostwatch"
 )
 
 // Parameters of one run of the soak test.
@@ -48,7 +49,8 @@
 	Faults       map[string]int
 	RecoveryTime time.Duration // time until all entry instances served again after all processes were killed; 0 if not killed
 	Violations   []string
-	Dir          string // directory of the run's files; empty if it was removed
+	Host         hostwatch.Report // what the run got of the computer it ran on
+	Dir          string           // directory of the run's files; empty if it was removed
 }
 
 // Run starts a deployment, runs the load and the faults that the seed determines
@@ -116,6 +118,8 @@
 // runAndCheck runs load, operator changes and faults, then checks the guarantees
 // and fills in result.
 func runAndCheck(ctx context.Context, o Options, d *deployment, op *operator, result *Result) {
+	watch := hostwatch.Start(d.dir)
+	defer func() { result.Host = watch.Stop() }()
 	h := &history{}
 	c := &faultInjector{deployment: d, history: h, rng: rand.New(rand.NewPCG(o.Seed, 1)), counts: map[string]int{}}
 	callers := runLoad(ctx, o, d, op, c)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -38,7 +38,7 @@
 	for _, seed := range shortSeeds {
 		r, err := Run(ctx, Options{BinDir: bin, Seed: seed, Size: DefaultSize, LoadDuration: shortLoad, NetworkPrefix: NetworkPrefix(0)})
 		assert.NilError(t, err)
-		assert.Equal(t, len(r.Violations), 0, "%v", r.Violations)
+		assert.Equal(t, len(r.Violations), 0, "%v; %v", r.Violations, r.Host)
 		assert.Assert(t, r.Complete > r.Requests/2, "%+v", r)
 	}
 }
