forward, streamversion: an instance that is cut off does not guess the version of a stream

What callers could get: a stream that one instance began at a new software version and another one, which reaches no control instance and has not heard of that version, continues at the old one, in answers that look whole (ORDER holds for instances out of touch too). Cause: no answer from control instances was taken for the answer that there is no further version. Class: absence of information used as information. Fix: a stream that nobody remembers goes on only if a majority of the listed control instances has answered; otherwise 2013. While the group is away this refuses unknown streams of services with one version as well. Evidence: TestCutOffInstanceDoesNotGuessTheVersion failed before (200). The expected finding of TestVersionsOfAllControlInstancesAreFound has the new field, and a minority is checked beside it.

--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -103,6 +103,18 @@
 	return f.addressesToPoll()
 }
 
+// Quorum returns how many control instances are a majority of those that are listed or, as
+// long as none is, of the seeds.
+func (f *Follower) Quorum() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := len(f.lastListed)
+	if n == 0 {
+		n = len(f.seeds)
+	}
+	return n/2 + 1
+}
+
 // fetchManifests fetches each new manifest once, from the nearest control
 // instance that has it, until ctx ends. All instances fetch a new manifest at the
 // same moment. If each fetched it from every control instance, the links would be
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -41,7 +41,8 @@
 	found := f.config.StreamVersions.Find(ctx, q.service.Name, first)
 	view, _ := f.config.Views.View()
 	if !found.Known {
-		return f.requireOnlyVersion(q, first, slices.Concat(view.Versions(q.service.Name), found.Versions))
+		found.Versions = append(found.Versions, view.Versions(q.service.Name)...)
+		return f.requireOnlyVersion(q, first, found)
 	}
 	if service, ok := view.Manifest.Service(found.Service); ok && q.route.Leads(found.Service) {
 		q.service = service
@@ -54,14 +55,15 @@
 	return nil
 }
 
-// requireOnlyVersion is requireVersion for a stream that nobody remembers. versions are
-// those that the service has or had.
-func (f *Forwarder) requireOnlyVersion(q *request, first string, versions []string) error {
-	slices.Sort(versions)
-	versions = slices.Compact(versions)
-	if q.route.IsSplit() || len(versions) > 1 {
+// requireOnlyVersion is requireVersion for a stream that nobody remembers, with the
+// versions that the service has or had. An instance that reaches too few control instances
+// may not have heard of one.
+func (f *Forwarder) requireOnlyVersion(q *request, first string, found streamversion.Finding) error {
+	slices.Sort(found.Versions)
+	versions := slices.Compact(found.Versions)
+	if q.route.IsSplit() || len(versions) > 1 || !found.Complete {
 		f.config.Metrics.Counter("forward.version_unknown").Inc(1)
-		return resultcode.Newf(resultcode.StreamVersionUnknown, "it is not known which of the versions %q of %q, or of another service of the route, began the stream of attempt %s", versions, q.service.Name, first)
+		return resultcode.Newf(resultcode.StreamVersionUnknown, "it is not known which of the versions %q of %q (all of them: %t), or of another service of the route, began the stream of attempt %s", versions, q.service.Name, found.Complete, first)
 	}
 	if len(versions) == 1 {
 		q.version = &versions[0]
--- a/internal/forward/version_test.go
+++ b/internal/forward/version_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/endivetrack/endivetrack/internal/fleet"
+	"github.com/endivetrack/endivetrack/internal/streamversion"
 )
 
 // announceVersion announces an engine of a software version.
@@ -150,6 +152,32 @@
 	assert.Equal(t, len(x.seen())+len(y.seen()), 1)
 }
 
+// unreachableControls is what an instance knows of control instances that it cannot reach.
+type unreachableControls []string
+
+func (u unreachableControls) Nearest() []string        { return u }
+func (u unreachableControls) Addresses() []string      { return u }
+func (u unreachableControls) Quorum() int              { return 1 }
+func (u unreachableControls) Started() <-chan struct{} { return nil }
+
+// Guards against an instance that cannot reach the control instances, has not heard of the
+// second version and continues a stream of it.
+func TestCutOffInstanceDoesNotGuessTheVersion(t *testing.T) {
+	x := newFakeTarget(t, "i1", streamsEvents(9, 0))
+	f := newFixture(t, "llm")
+	f.announceVersion(t, x, "v1", fleet.Ready)
+	f.config.StreamVersions = streamversion.NewTracker(f.views, unreachableControls{"127.0.0.1:1"}, http.DefaultClient, tally.NoopScope, time.Now)
+	status, _ := f.takeUp(t, "again", "of another instance")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(x.seen()), 0)
+	_, body, err := f.call(t, "POST", "/short/", "", "T-Id", "own")
+	assert.NilError(t, err)
+	assert.Equal(t, body, events(1, 9))
+	status, body = f.takeUp(t, "again", "own")
+	assert.Equal(t, status, http.StatusOK, "the instance began this stream itself")
+	assert.Equal(t, body, events(4, 9))
+}
+
 // Guards against a stream of a split route that goes on at the other service.
 func TestTakeUpReachesItsService(t *testing.T) {
 	x, y := newFakeTarget(t, "i1", streamsEvents(9, 0)), newFakeTarget(t, "i2", streamsEvents(9, 0))
--- a/internal/streamversion/store.go
+++ b/internal/streamversion/store.go
@@ -82,14 +82,19 @@
 	// Service and Version began the stream, if Known is set.
 	Service, Version string
 	Known            bool
-	// Versions holds further versions that targets of the service have run.
+	// Versions holds further versions that targets of the service have run. They are all
+	// if Complete is set: a majority of the control instances has answered.
 	Versions []string
+	Complete bool
 }
 
-// Find returns what is known of a stream.
+// Find returns what is known of a stream. An instance that uses a Store alone has no
+// control instances to ask.
 func (s *Store) Find(_ context.Context, _, id string) Finding {
 	r, known := s.find(id)
-	return findingOf(r, known)
+	f := findingOf(r, known)
+	f.Complete = true
+	return f
 }
 
 func findingOf(r Record, known bool) Finding {
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -55,6 +55,8 @@
 func (a addresses) Nearest() []string   { return a }
 func (a addresses) Addresses() []string { return a }
 
+func (a addresses) Quorum() int { return len(a)/2 + 1 }
+
 // Started returns a channel that never receives a value.
 func (a addresses) Started() <-chan struct{} { return nil }
 
@@ -147,7 +149,9 @@
 func TestVersionsOfAllControlInstancesAreFound(t *testing.T) {
 	a, b := newTestControl(t, "v2"), newTestControl(t, "v1")
 	tracker := startTracker(t, newTestViews(), addresses{a.address, b.address, "127.0.0.1:1"})
-	assert.DeepEqual(t, tracker.Find(context.Background(), "llm", "unknown"), Finding{Versions: []string{"v1", "v2"}})
+	assert.DeepEqual(t, tracker.Find(context.Background(), "llm", "unknown"), Finding{Versions: []string{"v1", "v2"}, Complete: true})
+	minority := startTracker(t, newTestViews(), addresses{a.address, "127.0.0.1:1", "127.0.0.1:2"})
+	assert.DeepEqual(t, minority.Find(context.Background(), "llm", "unknown"), Finding{Versions: []string{"v2"}})
 }
 
 // Guards against a take-up that waits for a control instance which never answers.
--- a/internal/streamversion/tracker.go
+++ b/internal/streamversion/tracker.go
@@ -39,6 +39,8 @@
 	Nearest() []string
 	// Addresses returns all of them, reachable or not.
 	Addresses() []string
+	// Quorum returns how many of them are a majority.
+	Quorum() int
 	// Started receives a value after one of them has started without any record.
 	Started() <-chan struct{}
 }
@@ -209,8 +211,13 @@
 		go func() { answers <- t.ask(ctx, address, service, id) }()
 	}
 	var f Finding
+	answered := 0
 	for range addresses {
 		a := <-answers
+		if a == nil {
+			continue
+		}
+		answered++
 		if a.GetKnown() {
 			return Finding{Service: a.GetService(), Version: a.GetVersion(), Known: true}
 		}
@@ -218,6 +225,7 @@
 	}
 	slices.Sort(f.Versions)
 	f.Versions = slices.Compact(f.Versions)
+	f.Complete = answered >= t.controls.Quorum()
 	return f
 }
 
