--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/endivetrack/endivetrack/internal/state"
 	"github.com/endivetrack/endivetrack/internal/state/command"
 	"github.com/endivetrack/endivetrack/internal/timeline"
+	"github.com/endivetrack/endivetrack/internal/wakeup"
 )
 
 // Lease timing. An entry instance's lease lasts LeaseDuration from the moment it
@@ -101,7 +102,7 @@
 
 	mu   sync.Mutex
 	term *term // current term of leadership; nil unless this instance is the leader
-	wake chan struct{}
+	wake wakeup.Flag // set when shard assignments have to be planned
 }
 
 var _ API = (*Server)(nil)
@@ -141,7 +142,7 @@
 		log:     cfg.Log,
 		machine: cfg.Machine,
 		metrics: newMetrics(cfg.Metrics),
-		wake:    make(chan struct{}, 1),
+		wake:    wakeup.New(),
 	}
 }
 
@@ -167,7 +168,7 @@
 		case <-tick.C:
 			continue
 		case <-changed:
-		case <-s.wake:
+		case <-s.wake.C():
 		}
 		lastPlan = time.Time{}
 		select {
@@ -178,14 +179,6 @@
 	}
 }
 
-// wakeRunLoop makes Run plan shard assignments soon. It never blocks.
-func (s *Server) wakeRunLoop() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
 // propose commits a command through the replicated log and returns the message
 // that applying it produced.
 func (s *Server) propose(ctx context.Context, body *api.StateCommand) (any, error) {
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -160,7 +160,7 @@
 		return sessionUnknownError(req)
 	}
 	if advanced {
-		s.wakeRunLoop()
+		s.wake.Set()
 	}
 	if req.GetDraining() && !draining {
 		_, err := s.propose(ctx, &api.StateCommand{Body: &api.StateCommand_DrainSession{DrainSession: &api.DrainSession{SessionId: req.GetSessionId()}}})
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/sleep"
+	"github.com/endivetrack/endivetrack/internal/wakeup"
 )
 
 // Timing and limits of polling control instances.
@@ -54,8 +55,8 @@
 	lastListed  map[string]time.Time // time of the last response that listed a control instance; keyed by address, like polling and reachable
 	polling     map[string]bool
 	reachable   map[string]location // the control instances that respond
-	wake        chan struct{}       // receives a value when a poll loop may have to be started
-	started     chan struct{}       // receives a value when a control instance has started
+	wake        wakeup.Flag         // set when a poll loop may have to be started
+	started     wakeup.Flag         // set when a control instance has started
 	workers     sync.WaitGroup
 }
 
@@ -64,7 +65,7 @@
 func NewFollower(self Watcher, seeds []string, views *ViewStore, peerClient *http.Client, logger zerolog.Logger, metrics tally.Scope) *Follower {
 	f := &Follower{
 		views: views, peerClient: peerClient, logger: logger, metrics: metrics, self: self, seeds: seeds,
-		lastListed: map[string]time.Time{}, polling: map[string]bool{}, reachable: map[string]location{}, wake: make(chan struct{}, 1), started: make(chan struct{}, 1),
+		lastListed: map[string]time.Time{}, polling: map[string]bool{}, reachable: map[string]location{}, wake: wakeup.New(), started: wakeup.New(),
 	}
 	f.selfContext, f.endSelf = context.WithCancel(context.Background())
 	return f
@@ -80,23 +81,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.seeds = seeds
-	f.wakeUp()
+	f.wake.Set()
 }
 
-// wakeUp makes Run check which control instances have no poll loop.
-func (f *Follower) wakeUp() { notify(f.wake) }
-
 // Started returns a channel that receives a value after this instance has first reached a
 // control instance, or a new process of one: it remembers nothing that it was told before.
-func (f *Follower) Started() <-chan struct{} { return f.started }
-
-// notify sends a value unless one is waiting to be received.
-func notify(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
+func (f *Follower) Started() <-chan struct{} { return f.started.C() }
 
 // Leave reports immediately to the control instances that callers must no longer
 // be sent to this instance. It interrupts the polls in progress.
@@ -117,7 +107,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.wake:
+		case <-f.wake.C():
 		}
 	}
 }
@@ -156,7 +146,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		delete(f.polling, address)
-		f.wakeUp()
+		f.wake.Set()
 	}()
 	client := api.NewFleetQueryProtobufClient("http://"+address, f.peerClient)
 	position := position{control: address}
@@ -249,7 +239,7 @@
 	p.epoch, p.cursor = resp.GetEpoch(), resp.GetCursor()
 	f.markReachable(p.control, f.locationOf(resp))
 	if isNew {
-		notify(f.started)
+		f.started.Set()
 	}
 	if resp.GetEntriesVersion() != p.entriesVersion {
 		entries := make([]Watcher, 0, len(resp.GetEntries()))
@@ -274,7 +264,7 @@
 		}
 		f.lastListed[address] = now
 		if !f.polling[address] {
-			f.wakeUp()
+			f.wake.Set()
 		}
 	}
 }
--- a/internal/forward/lease.go
+++ b/internal/forward/lease.go
@@ -34,7 +34,7 @@
 		l.endpoint.tokens -= l.tokens
 		l.endpoint.prefillTokens -= l.prefillTokens
 		l.prefillTokens = 0
-		l.table.noteLoadChange()
+		l.table.loadsChanged.Set()
 	}
 }
 
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -54,7 +54,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e.seenLimit.Rate != rate {
-		t.noteLoadChange()
+		t.loadsChanged.Set()
 	}
 	e.seenLimit = NamedLimit{Rate: rate, At: now}
 	return t.refreshLimit(e)
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -75,15 +75,7 @@
 }
 
 // LoadsChanged returns a channel that receives a value after Loads has changed.
-func (f *Forwarder) LoadsChanged() <-chan struct{} { return f.table.loadsChanged }
-
-// noteLoadChange announces a change of this instance's own loads.
-func (t *table) noteLoadChange() {
-	select {
-	case t.loadsChanged <- struct{}{}:
-	default: // a change is already announced
-	}
-}
+func (f *Forwarder) LoadsChanged() <-chan struct{} { return f.table.loadsChanged.C() }
 
 // loadAndAge returns the load that all instances together place on an endpoint,
 // and the age of the newest announcement received from its target.
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -11,6 +11,7 @@
 
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/manifest"
+	"github.com/endivetrack/endivetrack/internal/wakeup"
 )
 
 // Limits on the load that this instance puts on one target.
@@ -79,12 +80,12 @@
 	view             *fleet.View
 	endpoints        map[string]*endpoint       // endpoints by target ID
 	loadedBy         map[string]map[string]Load // loads of other instances by target ID, by instance name
-	loadsChanged     chan struct{}
+	loadsChanged     wakeup.Flag
 	changedEndpoints []*endpoint // endpoints added or changed since the last takeChangedEndpoints
 }
 
 func newTable(self Location, regions map[string]string) *table {
-	return &table{self: self, regions: regions, endpoints: map[string]*endpoint{}, view: &fleet.View{}, loadedBy: map[string]map[string]Load{}, loadsChanged: make(chan struct{}, 1)}
+	return &table{self: self, regions: regions, endpoints: map[string]*endpoint{}, view: &fleet.View{}, loadedBy: map[string]map[string]Load{}, loadsChanged: wakeup.New()}
 }
 
 // syncEndpoints updates the endpoints from a view of the fleet (this instance's
@@ -188,7 +189,7 @@
 	e.requests++
 	e.tokens += tokens
 	e.prefillTokens += q.tokens.prompt
-	t.noteLoadChange()
+	t.loadsChanged.Set()
 	return &lease{table: t, endpoint: e, tokens: tokens, prefillTokens: q.tokens.prompt, reservedAt: time.Now()}
 }
 
@@ -287,7 +288,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e.incomingCopies += n
-	t.noteLoadChange()
+	t.loadsChanged.Set()
 }
 
 // markFailed marks an endpoint as suspect after a failed attempt, for a time
@@ -297,7 +298,7 @@
 	defer t.mu.Unlock()
 	e.suspectUntil = now.Add(min(suspectMin<<min(e.failures, 5), suspectMax))
 	e.failures++
-	t.noteLoadChange()
+	t.loadsChanged.Set()
 }
 
 // clearFailures clears the failures of an endpoint after a complete response.
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -131,7 +131,7 @@
 	s.correct(now)
 	s.decide(now)
 	if clears {
-		s.notifyChanged()
+		s.changed.Set()
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -24,6 +24,8 @@
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/endivetrack/endivetrack/internal/wakeup"
 )
 
 // Bounds of what a Store keeps.
@@ -103,13 +105,13 @@
 	quarantines     map[string]*record // by key
 	decidedAt       time.Time
 	onBegin         func(parts []string)
-	changed         chan struct{}
-	recordsChanged  chan struct{} // receives a value after a quarantine has changed
+	changed         wakeup.Flag // set when peers do not know what this instance does
+	recordsChanged  wakeup.Flag // set when a quarantine has changed
 }
 
 // New returns an empty Store. now returns the current time.
 func New(log zerolog.Logger, metrics tally.Scope, now func() time.Time) *Store {
-	return &Store{log: log, metrics: metrics, now: now, clean: newTimes(maxCleanParts), cleanIdentities: newTimes(maxCleanIdentities), quarantines: map[string]*record{}, changed: make(chan struct{}, 1), recordsChanged: make(chan struct{}, 1)}
+	return &Store{log: log, metrics: metrics, now: now, clean: newTimes(maxCleanParts), cleanIdentities: newTimes(maxCleanIdentities), quarantines: map[string]*record{}, changed: wakeup.New(), recordsChanged: wakeup.New()}
 }
 
 // newTimes returns a map that forgets the entries that were set least recently.
@@ -145,7 +147,7 @@
 	s.log.Warn().Str("target", id.Target).Str("service", service).Strs("parts", suspect.Shared).Str("own", suspect.Own).
 		Dur("sent_before", at.Sub(suspect.SentAt)).Msg("target crashed while it began to answer")
 	s.decide(now)
-	s.notifyChanged()
+	s.changed.Set()
 }
 
 func (s *Store) crash(id CrashID) *crash {
@@ -236,16 +238,7 @@
 
 // Changed returns a channel that receives a value after this instance has seen or
 // decided something that its peers do not know.
-func (s *Store) Changed() <-chan struct{} { return s.changed }
-
-func (s *Store) notifyChanged() { notify(s.changed) }
-
-func notify(changed chan<- struct{}) {
-	select {
-	case changed <- struct{}{}:
-	default: // a change is already announced
-	}
-}
+func (s *Store) Changed() <-chan struct{} { return s.changed.C() }
 
 // ContainsAll reports whether parts contains each of wanted.
 func ContainsAll(parts, wanted []string) bool {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -89,7 +89,7 @@
 	s.metrics.Counter("quarantine.begun").Inc(1)
 	s.log.Error().Strs("parts", c.parts).Int("crashes", c.crashes).Int("times", times).Dur("hold", hold(times)).Msg("quarantined")
 	s.updateGauge(now)
-	s.notifyChanged()
+	s.changed.Set()
 }
 
 // removeSupersets removes the records that contain all of the parts.
@@ -109,7 +109,7 @@
 // put stores a record. If there are too many, the other one that ends first is removed.
 func (s *Store) put(r *record) {
 	s.quarantines[key(r.Parts)] = r
-	notify(s.recordsChanged)
+	s.recordsChanged.Set()
 	if s.onBegin != nil && r.active(s.now()) {
 		go s.onBegin(r.Parts)
 	}
@@ -152,16 +152,16 @@
 	r.Parts, r.changedAt = parts, now
 	s.put(r)
 	s.log.Warn().Strs("parts", parts).Msg("quarantined without the parts that were served")
-	s.notifyChanged()
+	s.changed.Set()
 }
 
 func (s *Store) lift(r *record, now time.Time, reason string) {
 	r.lifted, r.changedAt = true, now
-	notify(s.recordsChanged)
+	s.recordsChanged.Set()
 	s.metrics.Counter("quarantine.lifted").Inc(1)
 	s.log.Warn().Strs("parts", r.Parts).Str("reason", reason).Msg("quarantine lifted")
 	s.updateGauge(now)
-	s.notifyChanged()
+	s.changed.Set()
 }
 
 // expire forgets old crashes and records, and renews an ended quarantine whose parts
--- a/internal/quarantine/replicate.go
+++ b/internal/quarantine/replicate.go
@@ -52,7 +52,7 @@
 			case <-ctx.Done():
 				return
 			case <-viewChanged:
-			case <-r.store.recordsChanged:
+			case <-r.store.recordsChanged.C():
 			}
 			continue
 		}
--- a/internal/streamversion/tracker.go
+++ b/internal/streamversion/tracker.go
@@ -13,6 +13,7 @@
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/sleep"
+	"github.com/endivetrack/endivetrack/internal/wakeup"
 )
 
 const (
@@ -58,7 +59,7 @@
 
 	mu      sync.Mutex
 	unsent  map[string]Record
-	changed chan struct{}
+	changed wakeup.Flag
 }
 
 // NewTracker returns a Tracker without records. Run must be called for records to reach
@@ -66,7 +67,7 @@
 func NewTracker(views *fleet.ViewStore, controls Controls, peerClient *http.Client, metrics tally.Scope, now func() time.Time) *Tracker {
 	return &Tracker{
 		store: NewStore(maxTrackedRecords, now), views: views, controls: controls, peerClient: peerClient, metrics: metrics, now: now,
-		unsent: map[string]Record{}, changed: make(chan struct{}, 1),
+		unsent: map[string]Record{}, changed: wakeup.New(),
 	}
 }
 
@@ -80,10 +81,7 @@
 		t.dropEnded()
 	}
 	if t.mustSend(r) {
-		select {
-		case t.changed <- struct{}{}:
-		default: // a batch is already due
-		}
+		t.changed.Set()
 	}
 }
 
@@ -135,7 +133,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.changed:
+		case <-t.changed.C():
 		case <-viewChanged:
 		case <-t.controls.Started():
 			t.sendAllAgain()
