--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -101,7 +101,7 @@
 	responses responseCache
 
 	mu   sync.Mutex
-	term *term // current term of leadership; nil unless this instance is the leader
+	term *term       // current term of leadership; nil unless this instance is the leader
 	wake wakeup.Flag // set when shard assignments have to be planned
 }
 
