entry: a generation that crashes engines is given up after three and refused then

What callers and operators saw on the project's own interface: one call ended all eight engines of a test, since a generation whose engine is lost before its first token is started again at the next one until the retry budget is spent; repeats of it went on. Fix: the relay notes that an engine's process has ended (it refuses connections, or a new process does not know the generation); after three the generation is given up with 2012, and its identity is quarantined by the store that the platform path uses, at each entry instance by itself. Identity and error stand in internal/quarantine for both paths. /quarantines lists and lifts with the peer or operator key.

--- a/internal/entry/command/generation.go
+++ b/internal/entry/command/generation.go
@@ -34,6 +34,8 @@
 	// the request must not be reported as "not run".
 	mayHaveRun      bool
 	excludedTargets []string
+	features        []string // what its repeats have in common
+	lostTargets     int      // targets whose processes ended while they began to run it
 	startedAt       time.Time
 	// releaseSlot releases the request's slot in the account's limits. A detached
 	// generation, which continues without its caller, keeps it until it ends.
@@ -66,6 +68,7 @@
 	}
 	s.counts.generations.Inc(1)
 	g.Generation = parsed
+	g.features = featuresOf(g)
 	if parsed.Stream {
 		g.sink = newStreamSink(w, s.Timing, 0)
 	} else {
@@ -91,11 +94,15 @@
 func (s *Service) runWithRetries(ctx context.Context, g *generation) error {
 	req := s.requirements(g.identity, g.Service, g.Class.QueueTimeout(), g.Request)
 	for {
+		if err := s.checkQuarantine(g); err != nil {
+			return s.failResponse(g, err)
+		}
 		req.RequestID, req.ExcludedTargets = stream.RandomID(), g.excludedTargets
 		held, err := s.Acquirer.Acquire(ctx, req)
 		if err != nil {
 			return s.failResponse(g, err)
 		}
+		sentAt := time.Now()
 		res := s.runOnce(ctx, g, held)
 		if res.outcome == superseded {
 			panic(http.ErrAbortHandler) // abort the response: after a takeover it must not look complete to the caller
@@ -106,6 +113,11 @@
 		s.reportViolation(res.err)
 		g.excludedTargets = append(g.excludedTargets, held.Permit.GetTarget())
 		g.mayHaveRun = g.mayHaveRun || res.err.Execution != resultcode.NotRun
+		if res.targetEnded {
+			if err := s.recordLost(g, held, sentAt); err != nil {
+				return s.failResponse(g, err)
+			}
+		}
 		if !res.retryable {
 			return s.failResponse(g, res.err)
 		}
@@ -139,6 +151,7 @@
 	id := stream.GenerationID(g.Service, held.Permit.GetTarget(), uniqueIDPart(held))
 	r := s.newRelay(id, g.identity, held, g.sink, 0)
 	r.address, r.body, r.request, r.startedAt = held.Permit.GetAddress(), g.Body, g, g.startedAt
+	r.onServed = func() { s.recordServed(g) }
 	r.beforeDispatch = func() error {
 		if err := faultpoint.Hit(pointBeforeStart); err != nil {
 			return err
--- a/internal/entry/command/relay.go
+++ b/internal/entry/command/relay.go
@@ -37,6 +37,8 @@
 	// retryable is set if the request may be started again at another target: no
 	// token was delivered, and another target may succeed.
 	retryable bool
+	// targetEnded is set if the target's process ended before the first token.
+	targetEnded bool
 }
 
 // relay copies the tokens of one generation from its target to a sink and reconnects
@@ -57,13 +59,17 @@
 	// request is the caller's generation request and startedAt its arrival time. Both
 	// are unset when a generation is resumed.
 	request   *generation
+	onServed  func() // called when the generation is complete
 	startedAt time.Time
 	latencies *latency.Streams
 
 	lastToken  time.Time
 	conn       *target.Stream
-	dispatched bool  // a connection to the target was opened
-	lastErr    error // newest error of a connection to the target or of the sink
+	dispatched bool // a connection to the target was opened
+	sent       bool // the target may have begun to run the generation when its first connection broke
+	// targetEnded is set if the target's process has ended before the first token.
+	targetEnded bool
+	lastErr     error // newest error of a connection to the target or of the sink
 }
 
 // run relays tokens until the stream is complete or cannot be continued, or ctx
@@ -164,6 +170,7 @@
 // one, into a sequencer input and closes the connection.
 func (r *relay) inputFromError(err error) inputEvent {
 	r.lastErr = err
+	r.noteLost(err)
 	kind := stream.Broken
 	var notSent *target.NotSentError
 	var status *target.StatusError
@@ -286,6 +293,9 @@
 
 func (r *relay) completeResponse() relayResult {
 	r.closeConn()
+	if r.request != nil {
+		r.onServed()
+	}
 	if r.sink.complete() != nil {
 		return relayResult{outcome: callerGone}
 	}
@@ -297,7 +307,7 @@
 func (r *relay) failureResult() relayResult {
 	r.closeConn()
 	delivered := r.seq.Next()
-	res := relayResult{outcome: failed, retryable: delivered == 0 && r.body != nil}
+	res := relayResult{outcome: failed, retryable: delivered == 0 && r.body != nil, targetEnded: r.targetEnded}
 	var notSent *target.NotSentError
 	var status *target.StatusError
 	switch {
--- a/internal/entry/command/service.go
+++ b/internal/entry/command/service.go
@@ -18,6 +18,7 @@
 	"github.com/endivetrack/endivetrack/internal/entry/latency"
 	"github.com/endivetrack/endivetrack/internal/entry/permit"
 	"github.com/endivetrack/endivetrack/internal/entry/target"
+	"github.com/endivetrack/endivetrack/internal/quarantine"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 	"github.com/endivetrack/endivetrack/internal/session"
 	"github.com/endivetrack/endivetrack/internal/settings"
@@ -71,6 +72,7 @@
 	Log         zerolog.Logger
 	Metrics     tally.Scope
 	Timeline    *timeline.Recorder
+	Quarantine  *quarantine.Store
 }
 
 // Service serves the API calls that start or change work: generations, calls to
@@ -82,6 +84,7 @@
 	generations         *generationRegistry
 	latestAnnouncements *announcementCache
 	latencyEstimator    *latencyEstimator
+	crashes             crashLog
 	background          sync.WaitGroup // detached generations and cancellations at targets that still run
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/endivetrack/endivetrack/internal/entry/reply"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/process"
+	"github.com/endivetrack/endivetrack/internal/quarantine"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 	"github.com/endivetrack/endivetrack/internal/session"
 	"github.com/endivetrack/endivetrack/internal/sleep"
@@ -57,14 +58,16 @@
 
 // Entry is one entry instance. Run starts and stops it.
 type Entry struct {
-	cfg       Config
-	commands  *command.Service
-	queries   *query.Service
-	permits   *permit.Registry
-	latencies *latency.Streams
-	server    *http.Server
-	slots     chan struct{}
-	draining  atomic.Bool
+	cfg      Config
+	commands *command.Service
+	queries  *query.Service
+	permits  *permit.Registry
+	// quarantined holds the generations that crash targets, as this instance has seen.
+	quarantined *quarantine.Store
+	latencies   *latency.Streams
+	server      *http.Server
+	slots       chan struct{}
+	draining    atomic.Bool
 }
 
 // New returns an entry instance that is not yet serving.
@@ -73,7 +76,8 @@
 	owners := permit.NewOwners(cfg.Source, cfg.Owner, cfg.Env.PeerClient)
 	permits := permit.NewRegistry(cfg.Source, owners, cfg.PermitTiming, scope)
 	latencies := latency.New(scope)
-	e := &Entry{cfg: cfg, permits: permits, latencies: latencies, slots: make(chan struct{}, cfg.Limits.MaxRequests)}
+	quarantined := quarantine.New(cfg.Env.Log, scope, time.Now)
+	e := &Entry{cfg: cfg, quarantined: quarantined, permits: permits, latencies: latencies, slots: make(chan struct{}, cfg.Limits.MaxRequests)}
 	e.commands = command.NewService(command.Deps{
 		Name: cfg.Process.Name, Region: cfg.Process.Region, Source: cfg.Source,
 		Directory: access.NewDirectory(cfg.Source),
@@ -81,7 +85,7 @@
 		Acquirer:  permit.NewAcquirer(cfg.Source, owners, permits, cfg.PermitTiming, scope),
 		Owners:    owners, Permits: permits,
 		RetryBudget: permit.NewRetryBudget(scope), LinkBudget: permit.NewLinkBudget(scope), Latencies: latencies,
-		Control: cfg.Control, Timing: cfg.Timing, Log: cfg.Env.Log, Metrics: scope, Timeline: cfg.Env.Timeline,
+		Control: cfg.Control, Timing: cfg.Timing, Log: cfg.Env.Log, Metrics: scope, Timeline: cfg.Env.Timeline, Quarantine: quarantined,
 	})
 	e.queries = &query.Service{Deps: query.Deps{
 		Name: cfg.Process.Name, Source: cfg.Source, Env: cfg.Env, AddressTTL: cfg.AddressTTL,
@@ -107,6 +111,7 @@
 	r.GET("/healthz", e.queries.Health)
 	r.GET("/v1/events", e.queries.Events, e.queries.RequirePeerOrOperator)
 	r.GET("/v1/status", e.queries.Status, e.queries.RequirePeerOrOperator)
+	r.Any("/quarantines*", echo.WrapHandler(e.quarantined.Handler(http.NotFoundHandler())), e.queries.RequirePeerOrOperator)
 
 	peers := http.NewServeMux()
 	peers.Handle(api.AdmissionCommandPathPrefix, api.NewAdmissionCommandServer(e.cfg.Owner))
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -275,6 +275,7 @@
 	id         string
 	offset     int
 	isDispatch bool // the request starts a new generation instead of resuming one
+	body       string
 }
 
 func (c *engineConn) startResponse() {
@@ -356,7 +357,8 @@
 	switch r.Method {
 	case http.MethodPost:
 		c.id, c.isDispatch = r.Header.Get("X-Request-Id"), true
-		_, _ = io.Copy(io.Discard, r.Body)
+		body, _ := io.ReadAll(r.Body)
+		c.body = string(body)
 	case http.MethodGet:
 		c.id = strings.TrimPrefix(r.URL.Path, "/v1/generations/")
 		_, _ = fmt.Sscan(r.URL.Query().Get("offset"), &c.offset)
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -12,7 +12,7 @@
 func (f *Forwarder) place(q *request, a *attemptHistory) *lease {
 	if found, ok := f.config.Quarantine.Match(q.features); ok {
 		f.config.Metrics.Counter("quarantine.refused").Inc(1)
-		a.lastErr = quarantinedError(found).WithRetryAfter(time.Until(found.Until))
+		a.lastErr = quarantine.Error(found).WithRetryAfter(time.Until(found.Until))
 		return nil
 	}
 	if f.config.Quarantine.SpareLast(q.features) && f.isLastTarget(q) {
@@ -46,10 +46,3 @@
 	}
 	return left <= 1 && crashed > 0
 }
-
-func quarantinedError(found quarantine.Quarantine) *resultcode.Error {
-	if found.IsRequest() {
-		return resultcode.Newf(resultcode.RequestQuarantined, "targets crash when they run this request (%s)", found.Parts[0])
-	}
-	return resultcode.Newf(resultcode.PromptQuarantined, "targets crash when they answer a prompt with the parts %v", found.Parts)
-}
--- a/internal/quarantine/identity.go
+++ b/internal/quarantine/identity.go
@@ -1,9 +1,14 @@
 package quarantine
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
 // IdentityPrefix begins the identity of a whole request, which its repeats have in common.
@@ -25,6 +30,30 @@
 	restartTime       = 5 * time.Second
 )
 
+// identityBytes is the length of an identity. The hash is cryptographic, so that no caller
+// can send a request with the identity of another caller's.
+const identityBytes = 16
+
+// Identity returns what all repeats of a request have in common: a hash of its fields.
+func Identity(fields ...[]byte) string {
+	h := sha256.New()
+	for _, field := range fields {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		h.Write(length[:])
+		h.Write(field)
+	}
+	return IdentityPrefix + hex.EncodeToString(h.Sum(nil)[:identityBytes])
+}
+
+// Error returns the error for a request that falls under a quarantine.
+func Error(q Quarantine) *resultcode.Error {
+	if q.IsRequest() {
+		return resultcode.Newf(resultcode.RequestQuarantined, "targets crash when they run this request (%s)", q.Parts[0])
+	}
+	return resultcode.Newf(resultcode.PromptQuarantined, "targets crash when they answer a prompt with the parts %v", q.Parts)
+}
+
 // isIdentity reports whether a part is the identity of a request.
 func isIdentity(part string) bool { return strings.HasPrefix(part, IdentityPrefix) }
 
