fleet, quarantine: the replicated quarantines are bounded in bytes; the error stands beside its type

Each change of the replicated state sends all quarantines to all watchers; 256 records of 4 KiB would be 1 MiB each time. Now those that end first give way beyond 48 KiB together (test).

--- a/internal/fleet/quarantines.go
+++ b/internal/fleet/quarantines.go
@@ -11,9 +11,11 @@
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
-// Bounds of the quarantines in the replicated state.
+// Bounds of the quarantines in the replicated state. Each change of the state sends all of
+// them to all watchers.
 const (
-	maxQuarantines = 256
+	maxQuarantines         = 256
+	maxQuarantineTotalSize = 48 << 10 // bytes
 	// maxQuarantineBytes bounds one record in the log.
 	maxQuarantineBytes = 4 << 10
 )
@@ -39,6 +41,24 @@
 // as long as it held.
 func (q *QuarantineRecord) ForgottenAt() time.Time { return q.Until.Add(q.Until.Sub(q.Since)) }
 
+// size returns about how many bytes the record takes in a message.
+func (q *QuarantineRecord) size() int {
+	const timesAndFlags = 32
+	n := timesAndFlags
+	for _, p := range q.Parts {
+		n += len(p)
+	}
+	return n
+}
+
+func totalSize(records []QuarantineRecord) int {
+	n := 0
+	for i := range records {
+		n += records[i].size()
+	}
+	return n
+}
+
 func (q *QuarantineRecord) hasParts(parts []string) bool { return slices.Equal(q.Parts, parts) }
 
 // contains reports whether the record has all of the parts and further ones.
@@ -66,7 +86,7 @@
 }
 
 // putQuarantine adds a record, or replaces an older state of it. A quarantine of fewer
-// parts replaces those that contain it. If there are too many, the other one that ends
+// parts replaces those that contain it. While there are too many, the other one that ends
 // first is removed. It reports whether the state changes.
 func (s *State) putQuarantine(q QuarantineRecord) bool {
 	if old := s.quarantine(q.Parts); old != nil && !q.Supersedes(old) {
@@ -75,7 +95,7 @@
 	rest := slices.DeleteFunc(slices.Clone(s.Quarantines), func(x QuarantineRecord) bool {
 		return x.hasParts(q.Parts) || !q.Lifted && x.contains(q.Parts)
 	})
-	if len(rest) >= maxQuarantines {
+	for len(rest) >= maxQuarantines || totalSize(rest)+q.size() > maxQuarantineTotalSize {
 		first := slices.MinFunc(rest, func(a, b QuarantineRecord) int { return a.Until.Compare(b.Until) })
 		rest = slices.DeleteFunc(rest, func(x QuarantineRecord) bool { return x.hasParts(first.Parts) })
 	}
--- a/internal/fleet/quarantines_test.go
+++ b/internal/fleet/quarantines_test.go
@@ -95,6 +95,12 @@
 	state, _ := c.machine.State()
 	assert.Equal(t, len(state.Quarantines), maxQuarantines)
 	assert.Assert(t, state.quarantine([]string{fmt.Sprint("part", maxQuarantines+2)}) != nil)
+	for n := range 20 {
+		c.quarantine(t, 1, false, fmt.Sprint("large", n), strings.Repeat("x", maxQuarantineBytes-100))
+	}
+	state, _ = c.machine.State()
+	assert.Assert(t, totalSize(state.Quarantines) <= maxQuarantineTotalSize)
+	assert.Assert(t, len(state.Quarantines[len(state.Quarantines)-1].Parts) == 2, "the new record stays")
 	for _, bad := range []*api.FleetQuarantineRequest{reportOf(1, false), reportOf(0, false, "a"), reportOf(1, false, strings.Repeat("x", maxQuarantineBytes))} {
 		_, err := c.Quarantine(context.Background(), bad)
 		assert.ErrorContains(t, err, "quarantine of")
--- a/internal/quarantine/identity.go
+++ b/internal/quarantine/identity.go
@@ -7,8 +7,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
 // IdentityPrefix begins the identity of a whole request, which its repeats have in common.
@@ -46,14 +44,6 @@
 	return IdentityPrefix + hex.EncodeToString(h.Sum(nil)[:identityBytes])
 }
 
-// Error returns the error for a request that falls under a quarantine.
-func Error(q Quarantine) *resultcode.Error {
-	if q.IsRequest() {
-		return resultcode.Newf(resultcode.RequestQuarantined, "targets crash when they run this request (%s)", q.Parts[0])
-	}
-	return resultcode.Newf(resultcode.PromptQuarantined, "targets crash when they answer a prompt with the parts %v", q.Parts)
-}
-
 // isIdentity reports whether a part is the identity of a request.
 func isIdentity(part string) bool { return strings.HasPrefix(part, IdentityPrefix) }
 
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
 // How long a quarantine holds.
@@ -26,6 +28,14 @@
 // IsRequest reports whether repeats of one request are quarantined, not parts of prompts.
 func (q Quarantine) IsRequest() bool { return len(q.Parts) == 1 && isIdentity(q.Parts[0]) }
 
+// Error returns the error for a request that falls under a quarantine.
+func Error(q Quarantine) *resultcode.Error {
+	if q.IsRequest() {
+		return resultcode.Newf(resultcode.RequestQuarantined, "targets crash when they run this request (%s)", q.Parts[0])
+	}
+	return resultcode.Newf(resultcode.PromptQuarantined, "targets crash when they answer a prompt with the parts %v", q.Parts)
+}
+
 // record is a quarantine with its state. After its end it is kept as long as it held:
 // one crash then suffices to quarantine its parts again.
 type record struct {
--- a/internal/streamversion/tracker.go
+++ b/internal/streamversion/tracker.go
@@ -114,7 +114,7 @@
 // Run sends records to control instances until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
 	for {
-		select {
+		select { // here too, since batches may follow one another without a pause below
 		case <-t.controls.Started():
 			t.sendAllAgain()
 		default:
