--- a/internal/quarantine/replicate.go
+++ b/internal/quarantine/replicate.go
@@ -46,7 +46,7 @@
 func (r *Replicator) Run(ctx context.Context) {
 	for {
 		view, viewChanged := r.views.View()
-		r.store.AdoptReplicated(view.Quarantines)
+		r.store.adoptReplicated(view.Quarantines)
 		if len(r.unreported()) == 0 {
 			select {
 			case <-ctx.Done():
@@ -133,9 +133,9 @@
 	return out
 }
 
-// AdoptReplicated adds the records of the replicated state that are newer than the known
+// adoptReplicated adds the records of the replicated state that are newer than the known
 // ones.
-func (s *Store) AdoptReplicated(records []fleet.QuarantineRecord) {
+func (s *Store) adoptReplicated(records []fleet.QuarantineRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
--- a/standin/soak/crashing_request_test.go
+++ b/standin/soak/crashing_request_test.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -114,27 +113,6 @@
 	})
 }
 
-// restartAll kills processes at once, starts them again and waits until they serve.
-func (p *crashPlay) restartAll(ctx context.Context, all []*instance) error {
-	for _, i := range all {
-		i.setExpectedExit(true)
-		i.Signal(syscall.SIGKILL)
-	}
-	for _, i := range all {
-		<-i.Done()
-	}
-	for _, i := range all {
-		if err := i.Start(); err != nil {
-			return err
-		}
-		i.setExpectedExit(false)
-	}
-	if err := p.awaitService(ctx, keptKey); err != nil {
-		return err
-	}
-	return p.awaitRefusal(ctx)
-}
-
 // lateAttempts returns how many attempts crashed a target later than settleTime after the
 // third crash. The targets run every attempt that reaches them.
 func (p *crashPlay) lateAttempts() int {
@@ -170,7 +148,10 @@
 	}
 	for _, all := range [][]*instance{p.entries, p.instances()} {
 		sleep(ctx, settleTime)
-		if err := p.restartAll(ctx, all); err != nil {
+		if err := p.restartAtOnce(ctx, all); err != nil {
+			return err
+		}
+		if err := p.awaitRefusal(ctx); err != nil {
 			return err
 		}
 	}
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -122,6 +122,8 @@
 	networkPrefix string // first three octets of the addresses of all processes and targets
 	// crashesOn is passed to each target that starts; nil if no request crashes targets.
 	crashesOn func(t *target, body []byte) bool
+	// versionOf returns the software version of the n-th target; nil if targets have none.
+	versionOf func(n int) string
 
 	mu             sync.Mutex
 	targets        []*target
@@ -134,7 +136,7 @@
 	if o.Size.Controls < seedControlCount || o.Size.Controls > maxControls || o.Size.Entries > maxEntries {
 		return nil, fmt.Errorf("a deployment has %d to %d control and up to %d entry instances", seedControlCount, maxControls, maxEntries)
 	}
-	d := &deployment{size: o.Size, dir: dir, networkPrefix: o.NetworkPrefix, executionLog: &executionLog{}, crashesOn: o.crashesOn}
+	d := &deployment{size: o.Size, dir: dir, networkPrefix: o.NetworkPrefix, executionLog: &executionLog{}, crashesOn: o.crashesOn, versionOf: o.versionOf}
 	var seeds []platformtest.Instance
 	for i := range o.Size.Controls {
 		p := locations[i%len(locations)]
@@ -230,7 +232,11 @@
 func (d *deployment) addTargetOf(service string) (*target, error) {
 	n := d.startedTargets
 	d.startedTargets++
-	t, err := startTarget(fmt.Sprintf("target-%d", n+1), service, locations[(n/2)%len(locations)].domain, fmt.Sprintf("%s.%d", d.networkPrefix, targetOctet), d.executionLog, d.client, d.crashesOn)
+	version := ""
+	if d.versionOf != nil {
+		version = d.versionOf(n)
+	}
+	t, err := startTarget(fmt.Sprintf("target-%d", n+1), service, version, locations[(n/2)%len(locations)].domain, fmt.Sprintf("%s.%d", d.networkPrefix, targetOctet), d.executionLog, d.client, d.crashesOn)
 	if err == nil {
 		d.targets = append(d.targets, t)
 	}
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -239,12 +239,8 @@
 func (c *faultInjector) killAll(ctx context.Context, key string) (time.Duration, error) {
 	for _, i := range c.instances() {
 		defer c.history.beginFault(i.Instance.Name, false)()
-		i.setExpectedExit(true)
-		i.Signal(syscall.SIGKILL)
-	}
-	for _, i := range c.instances() {
-		<-i.Done()
 	}
+	killAtOnce(c.instances())
 	start := time.Now()
 	for _, i := range c.instances() {
 		c.restart(i)
@@ -254,3 +250,14 @@
 	err := c.awaitService(ctx, key)
 	return time.Since(start), err
 }
+
+// killAtOnce kills processes and waits until they have ended.
+func killAtOnce(all []*instance) {
+	for _, i := range all {
+		i.setExpectedExit(true)
+		i.Signal(syscall.SIGKILL)
+	}
+	for _, i := range all {
+		<-i.Done()
+	}
+}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -36,8 +36,9 @@
 	// NetworkPrefix is the first three octets of the loopback addresses.
 	// Concurrent runs need different prefixes.
 	NetworkPrefix string
-	// crashesOn makes targets crash by what they are sent; see deployment.
+	// crashesOn and versionOf are those of the deployment.
 	crashesOn func(t *target, body []byte) bool
+	versionOf func(n int) string
 }
 
 // Result is the outcome of a run.
--- a/standin/soak/target.go
+++ b/standin/soak/target.go
@@ -67,8 +67,8 @@
 }
 
 // startTarget starts a target under a new incarnation. The target announces itself
-// until it is stopped.
-func startTarget(id, service, domain, ip string, l *executionLog, client *platformtest.Client, crashesOn func(*target, []byte) bool) (*target, error) {
+// until it is stopped. The version may be empty.
+func startTarget(id, service, version, domain, ip string, l *executionLog, client *platformtest.Client, crashesOn func(*target, []byte) bool) (*target, error) {
 	serverListener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
@@ -86,7 +86,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	t := &target{
 		self: platformtest.Target{
-			ID: id, Service: service, Address: relayListener.Addr().String(), FailureDomain: domain, Slots: targetSlots, Incarnation: time.Now(),
+			ID: id, Service: service, Address: relayListener.Addr().String(), FailureDomain: domain, Slots: targetSlots, Incarnation: time.Now(), Version: version,
 		},
 		executionLog: l, client: client, crashesOn: crashesOn, relay: netfault.NewRelay(relayListener, serverListener.Addr().String()), stop: stop,
 	}
@@ -180,12 +180,16 @@
 }
 
 // sendEvents streams the events that follow the one that the request names in its
-// Last-Event-Id header.
+// Last-Event-Id header. The events of a target with a version hold the version.
 func (t *target) sendEvents(w http.ResponseWriter, r *http.Request, id string) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if the header is absent, so that the stream starts with the first event
+	last, _ := strconv.Atoi(r.Header.Get(platformtest.LastEventIDHeader)) // 0 if the header is absent, so that the stream starts with the first event
 	for n := last + 1; n <= streamEvents; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, expectedEventData(id, n)); err != nil {
+		data := t.self.Version
+		if data == "" {
+			data = expectedEventData(id, n)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, data); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil {
