--- a/internal/entry/crashing_generation_test.go
+++ b/internal/entry/crashing_generation_test.go
@@ -10,16 +10,16 @@
 	"gotest.tools/v3/assert"
 )
 
-// deadlyBody is a generation that crashes each engine which begins to run it.
-var deadlyBody = strings.Replace(streamBody, "hello", "deadly", 1)
+// crashingBody is a generation that crashes each engine which begins to run it.
+var crashingBody = strings.Replace(streamBody, "hello", "crashing", 1)
 
-// crashesOnDeadlyBody streams, but loses its connections and its generations with the
-// deadly one, as a process that ends and starts again does.
-func crashesOnDeadlyBody(c *engineConn) {
+// crashesByBody streams, but loses its connections and its generations with the
+// crashing one, as a process that ends and starts again does.
+func crashesByBody(c *engineConn) {
 	switch {
 	case !c.isDispatch:
 		unknownGeneration(c)
-	case strings.Contains(c.body, "deadly"):
+	case strings.Contains(c.body, "crashing"):
 		c.startResponse()
 		c.cutConnection()
 	default:
@@ -27,11 +27,11 @@
 	}
 }
 
-// addMortalEngines adds n engines that crash on the deadly generation.
-func (b *harness) addMortalEngines(n int) []*fakeEngine {
+// addCrashingEngines adds n engines that crash on the crashing generation.
+func (b *harness) addCrashingEngines(n int) []*fakeEngine {
 	var engines []*fakeEngine
 	for i := range n {
-		e := newEngine(b.t, crashesOnDeadlyBody)
+		e := newEngine(b.t, crashesByBody)
 		b.addTarget(fmt.Sprintf("llm-%d", i+1), e.address())
 		engines = append(engines, e)
 	}
@@ -47,21 +47,21 @@
 	return n
 }
 
-func (b *harness) generateDeadly() response {
+func (b *harness) generateCrashing() response {
 	b.t.Helper()
-	return b.call(http.MethodPost, "/v1/chat/completions", callerKey, deadlyBody)
+	return b.call(http.MethodPost, "/v1/chat/completions", callerKey, crashingBody)
 }
 
-// maxDeadlyDispatches is how many engines one generation may crash: those that show it.
-const maxDeadlyDispatches = 3
+// maxCrashingDispatches is how many engines one generation may crash: those that show it.
+const maxCrashingDispatches = 3
 
 // Guards against one generation that is restarted at one engine after the other and ends
 // them all.
 func TestCrashingGenerationIsNotRestartedWithoutEnd(t *testing.T) {
 	b := newHarness(t)
-	engines := b.addMortalEngines(8)
-	code, execution := b.generateDeadly().code(t)
-	assert.Equal(t, dispatches(engines), maxDeadlyDispatches)
+	engines := b.addCrashingEngines(8)
+	code, execution := b.generateCrashing().code(t)
+	assert.Equal(t, dispatches(engines), maxCrashingDispatches)
 	assert.Equal(t, code, 2012)
 	assert.Equal(t, execution, "unknown")
 }
@@ -70,13 +70,13 @@
 // beside them.
 func TestRepeatsOfCrashingGenerationAreRefused(t *testing.T) {
 	b := newHarness(t)
-	engines := b.addMortalEngines(8)
-	b.generateDeadly()
+	engines := b.addCrashingEngines(8)
+	b.generateCrashing()
 	assertTokens(t, b.generate().body, 0, 3)
 	time.Sleep(200 * time.Millisecond) // until other instances could have told what they lost
 	crashed := dispatches(engines) - 1
 	for range 5 {
-		a := b.generateDeadly()
+		a := b.generateCrashing()
 		code, execution := a.code(t)
 		assert.Equal(t, code, 2012)
 		assert.Equal(t, execution, "not_run")
@@ -84,5 +84,5 @@
 		assertTokens(t, b.generate().body, 0, 3)
 	}
 	assert.Equal(t, dispatches(engines), crashed+1+5)
-	assert.Assert(t, crashed <= maxDeadlyDispatches)
+	assert.Assert(t, crashed <= maxCrashingDispatches)
 }
--- a/internal/forward/deadly_test.go
+++ b/internal/forward/crashing_part_test.go
@@ -18,21 +18,21 @@
 )
 
 const (
-	// deadlyPart crashes each target that begins to answer a request with it.
-	deadlyPart = "dead"
-	// deadlyLimit is how many requests with a deadly part may reach targets: the five
+	// crashingPart crashes each target that begins to answer a request with it.
+	crashingPart = "dead"
+	// crashingLimit is how many requests with a crashing part may reach targets: the five
 	// whose crashes show it, and three more.
-	deadlyLimit = 8
+	crashingLimit = 8
 	// targetRestart is how long a crashed target stays away.
 	targetRestart = 400 * time.Millisecond
 	// firstEventDelay is how long a target works before it begins to answer.
 	firstEventDelay = 5 * time.Millisecond
 )
 
-// mortalTarget answers streams of three events and plain requests, and crashes when it
-// begins to answer a request with deadlyPart or deadlyBody: its process ends, so that it
+// crashingTarget answers streams of three events and plain requests, and crashes when it
+// begins to answer a request with crashingPart or crashingBody: its process ends, so that it
 // refuses connections, and a new incarnation starts at the same address after restartAfter.
-type mortalTarget struct {
+type crashingTarget struct {
 	id, address  string
 	restartAfter time.Duration
 
@@ -40,22 +40,22 @@
 	incarnation int64
 	listener    net.Listener
 	conns       map[net.Conn]bool
-	deadly      int // deadly requests that arrived
+	crashing    int // crashing requests that arrived
 	crashes     int
-	arrivals    []deadlyArrival
-	crashedBy   []deadlyArrival
+	arrivals    []crashArrival
+	crashedBy   []crashArrival
 	onRestart   func(incarnation int64)
 }
 
-// deadlyArrival is the arrival of a deadly request, or the crash that it causes.
-type deadlyArrival struct {
+// crashArrival is the arrival of a crashing request, or the crash that it causes.
+type crashArrival struct {
 	body string
 	at   time.Time
 }
 
-func newMortalTarget(t *testing.T, id string) *mortalTarget {
+func newCrashingTarget(t *testing.T, id string) *crashingTarget {
 	t.Helper()
-	x := &mortalTarget{id: id, restartAfter: targetRestart, conns: map[net.Conn]bool{}}
+	x := &crashingTarget{id: id, restartAfter: targetRestart, conns: map[net.Conn]bool{}}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	x.address = l.Addr().String()
@@ -64,7 +64,7 @@
 	return x
 }
 
-func (x *mortalTarget) start(l net.Listener) {
+func (x *crashingTarget) start(l net.Listener) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.listener = l
@@ -84,7 +84,7 @@
 }
 
 // crash closes the listener and all connections, as the end of a process does.
-func (x *mortalTarget) crash() {
+func (x *crashingTarget) crash() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	_ = x.listener.Close()
@@ -94,7 +94,7 @@
 	clear(x.conns)
 }
 
-func (x *mortalTarget) restart() {
+func (x *crashingTarget) restart() {
 	l, err := net.Listen("tcp4", x.address)
 	if err != nil {
 		return // the address is in use again: the target stays away
@@ -106,7 +106,7 @@
 	onRestart(incarnation)
 }
 
-func (x *mortalTarget) serve(c net.Conn) {
+func (x *crashingTarget) serve(c net.Conn) {
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -117,18 +117,18 @@
 		if err != nil {
 			return
 		}
-		deadly := strings.Contains(r.Header.Get("T-Parts"), deadlyPart) || strings.HasPrefix(string(body), deadlyBody)
-		if deadly {
+		crashing := strings.Contains(r.Header.Get("T-Parts"), crashingPart) || strings.HasPrefix(string(body), crashingBody)
+		if crashing {
 			x.mu.Lock()
-			x.deadly++
-			x.arrivals = append(x.arrivals, deadlyArrival{string(body), time.Now()})
+			x.crashing++
+			x.arrivals = append(x.arrivals, crashArrival{string(body), time.Now()})
 			x.mu.Unlock()
 		}
 		time.Sleep(firstEventDelay)
-		if deadly {
+		if crashing {
 			x.mu.Lock()
 			x.crashes++
-			x.crashedBy = append(x.crashedBy, deadlyArrival{string(body), time.Now()})
+			x.crashedBy = append(x.crashedBy, crashArrival{string(body), time.Now()})
 			x.mu.Unlock()
 			x.crash()
 			time.AfterFunc(x.restartAfter, x.restart)
@@ -142,34 +142,34 @@
 	}
 }
 
-func (x *mortalTarget) counts() (deadly, crashes int) {
+func (x *crashingTarget) counts() (crashing, crashes int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.deadly, x.crashes
+	return x.crashing, x.crashes
 }
 
-func sumCounts(targets []*mortalTarget) (deadly, crashes int) {
+func sumCounts(targets []*crashingTarget) (crashing, crashes int) {
 	for _, x := range targets {
 		d, c := x.counts()
-		deadly += d
+		crashing += d
 		crashes += c
 	}
-	return deadly, crashes
+	return crashing, crashes
 }
 
-func newMortalTargets(t *testing.T, n int) []*mortalTarget {
-	var targets []*mortalTarget
+func newCrashingTargets(t *testing.T, n int) []*crashingTarget {
+	var targets []*crashingTarget
 	for i := range n {
-		targets = append(targets, newMortalTarget(t, fmt.Sprintf("i%d", i)))
+		targets = append(targets, newCrashingTarget(t, fmt.Sprintf("i%d", i)))
 	}
 	return targets
 }
 
-// announceMortal announces the targets to all fixtures, now and after each restart.
-func announceMortal(t *testing.T, service string, targets []*mortalTarget, fixtures ...*fixture) {
+// announceCrashing announces the targets to all fixtures, now and after each restart.
+func announceCrashing(t *testing.T, service string, targets []*crashingTarget, fixtures ...*fixture) {
 	var mu sync.Mutex
 	sequence := uint64(0)
-	announce := func(x *mortalTarget, incarnation int64) {
+	announce := func(x *crashingTarget, incarnation int64) {
 		mu.Lock()
 		defer mu.Unlock()
 		sequence++
@@ -188,14 +188,14 @@
 	}
 }
 
-// playDeadly sends deadly and sound requests in turn through the fixtures, no two alike,
+// playCrashingParts sends crashing and sound requests in turn through the fixtures, no two alike,
 // and returns how many of the last half of the sound ones were served.
-func playDeadly(t *testing.T, rounds int, fixtures ...*fixture) (served, sound int) {
+func playCrashingParts(t *testing.T, rounds int, fixtures ...*fixture) (served, sound int) {
 	t.Helper()
 	for n := range rounds {
 		f := fixtures[n%len(fixtures)]
 		id := fmt.Sprint(n)
-		_, _, _ = f.call(t, "POST", "/short/", "pay", "T-Id", "d-"+id, "T-Parts", "5a:50,"+deadlyPart+":30,0"+id+":20") // fails
+		_, _, _ = f.call(t, "POST", "/short/", "pay", "T-Id", "d-"+id, "T-Parts", "5a:50,"+crashingPart+":30,0"+id+":20") // fails
 		for k := range 3 {
 			resp, body, err := f.call(t, "POST", "/short/", "pay", "T-Id", fmt.Sprintf("s-%d-%d", n, k), "T-Parts", fmt.Sprintf("5a:50,77%d:30,1%d%d:20", k, n, k))
 			if n < rounds/2 {
@@ -211,13 +211,13 @@
 	return served, sound
 }
 
-func TestDeadlyPromptPartStopsReachingTargets(t *testing.T) {
-	targets := newMortalTargets(t, 6)
+func TestCrashingPromptPartStopsReachingTargets(t *testing.T) {
+	targets := newCrashingTargets(t, 6)
 	f := newFixture(t, "llm")
-	announceMortal(t, "llm", targets, f)
-	served, sound := playDeadly(t, 24, f)
-	deadly, crashes := sumCounts(targets)
-	assert.Assert(t, deadly <= deadlyLimit, "%d requests with the deadly part reached targets, %d crashes", deadly, crashes)
+	announceCrashing(t, "llm", targets, f)
+	served, sound := playCrashingParts(t, 24, f)
+	crashing, crashes := sumCounts(targets)
+	assert.Assert(t, crashing <= crashingLimit, "%d requests with the crashing part reached targets, %d crashes", crashing, crashes)
 	assert.Equal(t, served, sound, "sound requests are served once the part is known")
 }
 
@@ -232,7 +232,7 @@
 	f := newFixture(t, "llm", x)
 	done := make(chan int, 1)
 	go func() {
-		resp, _, err := f.call(t, "POST", "/short/", "pay", "T-Parts", "5a:50,"+deadlyPart+":30,9:20")
+		resp, _, err := f.call(t, "POST", "/short/", "pay", "T-Parts", "5a:50,"+crashingPart+":30,9:20")
 		if err != nil {
 			done <- 0
 			return
@@ -242,7 +242,7 @@
 	<-received
 	for n := range 3 {
 		f.config.Quarantine.RecordServed("llm", []string{"5a", "1"})
-		suspect := quarantine.NewSuspect([]string{"5a", deadlyPart, fmt.Sprint(n)}, time.Now())
+		suspect := quarantine.NewSuspect([]string{"5a", crashingPart, fmt.Sprint(n)}, time.Now())
 		f.config.Quarantine.RecordCrash(quarantine.CrashID{Target: fmt.Sprint("x", n)}, "llm", time.Now(), suspect)
 	}
 	time.Sleep(200 * time.Millisecond)
--- a/internal/forward/crashing_request_test.go
+++ b/internal/forward/crashing_request_test.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// deadlyBody crashes each target that begins to run a request with it.
-	deadlyBody = "deadly"
+	// crashingBody crashes each target that begins to run a request with it.
+	crashingBody = "crashing"
 	// settleTime is how long after the third crash further attempts are not counted.
 	settleTime = time.Second
 	// maxLateAttempts is how many attempts may reach targets after that.
@@ -105,9 +105,9 @@
 	}
 }
 
-// lateAttempts returns how many attempts of a deadly request arrived later than settleTime
+// lateAttempts returns how many attempts of a crashing request arrived later than settleTime
 // after its third crash, and the number of its crashes.
-func lateAttempts(targets []*mortalTarget, body string) (late, crashes int) {
+func lateAttempts(targets []*crashingTarget, body string) (late, crashes int) {
 	var crashedAt, arrivals []time.Time
 	for _, x := range targets {
 		x.mu.Lock()
@@ -127,7 +127,7 @@
 	return late, len(crashedAt)
 }
 
-func timesOf(list []deadlyArrival, body string) []time.Time {
+func timesOf(list []crashArrival, body string) []time.Time {
 	var out []time.Time
 	for _, x := range list {
 		if x.body == body {
@@ -137,15 +137,15 @@
 	return out
 }
 
-// playCrashing plays callers that repeat deadly requests beside sound ones, at instances
+// playCrashing plays callers that repeat crashing requests beside sound ones, at instances
 // that share three targets, and checks what reaches the targets and what callers get.
 func playCrashing(t *testing.T, service string, instances, callersEach int, path string, bodies ...string) {
-	targets := newMortalTargets(t, 3)
+	targets := newCrashingTargets(t, 3)
 	p := &crashPlay{streams: service == "llm", begun: time.Now(), length: 4 * time.Second, sound: map[string]int{}, served: map[string]int{}}
 	for range instances {
 		p.fixtures = append(p.fixtures, newFixture(t, service))
 	}
-	announceMortal(t, service, targets, p.fixtures...)
+	announceCrashing(t, service, targets, p.fixtures...)
 	linkEvidence(t, p.fixtures...)
 	var callers sync.WaitGroup
 	for _, body := range bodies {
@@ -181,25 +181,25 @@
 
 func TestRequestThatCrashesEachTargetStopsReachingThem(t *testing.T) {
 	t.Parallel()
-	playCrashing(t, "core", 3, 2, "/read/deadly", deadlyBody)
+	playCrashing(t, "core", 3, 2, "/read/crashing", crashingBody)
 }
 
 // Guards against repeats of several requests that hide each other, many at a time.
 func TestSeveralCrashingRequestsAreToldApart(t *testing.T) {
 	t.Parallel()
-	playCrashing(t, "core", 6, 4, "/read/deadly", deadlyBody+"1", deadlyBody+"2")
+	playCrashing(t, "core", 6, 4, "/read/crashing", crashingBody+"1", crashingBody+"2")
 }
 
 // Guards against writes that crash targets: they are never repeated by an instance, but callers send them again.
 func TestWriteThatCrashesEachTargetStopsReachingThem(t *testing.T) {
 	t.Parallel()
-	playCrashing(t, "core", 3, 2, "/write/deadly", deadlyBody)
+	playCrashing(t, "core", 3, 2, "/write/crashing", crashingBody)
 }
 
 // Guards against streams that crash engines although no part of their prompts does.
 func TestStreamThatCrashesEachTargetStopsReachingThem(t *testing.T) {
 	t.Parallel()
-	playCrashing(t, "llm", 3, 2, "/short/deadly", deadlyBody)
+	playCrashing(t, "llm", 3, 2, "/short/crashing", crashingBody)
 }
 
 // Guards against a caller that is told nothing useful when its request is refused.
@@ -210,12 +210,12 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	route, account := &testManifest().Routes[0], &testManifest().Accounts[0]
-	identity := identityOf(&request{method: "POST", uri: "/read/deadly", route: route, account: account, body: []byte(deadlyBody)})
+	identity := identityOf(&request{method: "POST", uri: "/read/crashing", route: route, account: account, body: []byte(crashingBody)})
 	for n := range 3 {
 		f.config.Quarantine.RecordCrash(quarantine.CrashID{Target: fmt.Sprint("x", n)}, "core", time.Now(), quarantine.NewSuspect([]string{identity}, time.Now()))
 	}
 	f.config.Quarantine.RecordServed("core", []string{quarantine.IdentityPrefix + "other"})
-	resp, body, err := f.call(t, "POST", "/read/deadly", deadlyBody)
+	resp, body, err := f.call(t, "POST", "/read/crashing", crashingBody)
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 	assert.Assert(t, strings.Contains(body, "2012") && resp.Header.Get("Retry-After") != "", body)
@@ -225,16 +225,16 @@
 // Guards against a service that loses its last target to a request that crashed the others
 // a moment before.
 func TestLastTargetIsSparedFromSuspectOfTwoCrashes(t *testing.T) {
-	targets := newMortalTargets(t, 3)
+	targets := newCrashingTargets(t, 3)
 	for _, x := range targets {
 		x.restartAfter = 10 * time.Second
 	}
 	a, b := newFixture(t, "core"), newFixture(t, "core")
-	announceMortal(t, "core", targets, a, b)
+	announceCrashing(t, "core", targets, a, b)
 	linkEvidence(t, a, b)
 	for n := range 6 {
 		f := []*fixture{a, b}[n%2]
-		_, _, _ = f.call(t, "POST", "/read/deadly", deadlyBody, "T-Id", fmt.Sprint("d", n)) // fails or is refused
+		_, _, _ = f.call(t, "POST", "/read/crashing", crashingBody, "T-Id", fmt.Sprint("d", n)) // fails or is refused
 		time.Sleep(20 * time.Millisecond)
 	}
 	_, crashes := sumCounts(targets)
--- a/internal/loads/evidence_test.go
+++ b/internal/loads/evidence_test.go
@@ -41,9 +41,9 @@
 	return c.LocalAddr().String()
 }
 
-var deadlyPrompt = []string{"5a", "dead", "01"}
+var crashingPrompt = []string{"5a", "dead", "01"}
 
-// crashThree makes each of three instances see one crash by a deadly prompt.
+// crashThree makes each of three instances see one crash by a crashing prompt.
 func crashThree(stores []*quarantine.Store) {
 	for n := range 3 {
 		time.Sleep(5 * time.Millisecond)
@@ -63,7 +63,7 @@
 func awaitQuarantine(t *testing.T, s *quarantine.Store) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if _, ok := s.Match(deadlyPrompt); ok {
+		if _, ok := s.Match(crashingPrompt); ok {
 			return poll.Success()
 		}
 		return poll.Continue("not quarantined")
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -52,7 +52,7 @@
 	return found
 }
 
-func TestDeadlyPartIsKnownAfterThreeCrashes(t *testing.T) {
+func TestCrashingPartIsKnownAfterThreeCrashes(t *testing.T) {
 	p := newPlay()
 	for n := range 3 {
 		assert.Assert(t, !p.refuses("5a", "dead", "9"))
@@ -97,8 +97,8 @@
 	assert.Assert(t, !p.refuses("5a", "b", "other"))
 }
 
-// Guards against a caller that adds a sound part to deadly requests to have it refused.
-func TestSoundPartBesideDeadlyOneIsNotRefused(t *testing.T) {
+// Guards against a caller that adds a sound part to crashing requests to have it refused.
+func TestSoundPartBesideCrashingOneIsNotRefused(t *testing.T) {
 	p := newPlay()
 	for n := range 5 {
 		p.crash([]string{"5a", "victim", "dead", fmt.Sprint(n)})
@@ -126,7 +126,7 @@
 }
 
 // Guards against sound parts that are refused because their requests were on the targets
-// that a deadly part crashed.
+// that a crashing part crashed.
 func TestCrashesOfOnePartDoNotCountForOthers(t *testing.T) {
 	p := newPlay()
 	for n := range 3 {
@@ -144,7 +144,7 @@
 	assert.Assert(t, !p.refuses("rare", "9"))
 }
 
-func TestTwoDeadlyPartsAreBothKnown(t *testing.T) {
+func TestTwoCrashingPartsAreBothKnown(t *testing.T) {
 	p := newPlay()
 	for n := range 4 {
 		p.crash([]string{"5a", "dead1", fmt.Sprint(n)})
--- a/standin/soak/crashing_request_test.go
+++ b/standin/soak/crashing_request_test.go
@@ -19,12 +19,12 @@
 )
 
 const (
-	// deadlyBody crashes each target that begins to run a request with it.
-	deadlyBody = "deadly"
-	// deadlyInterval is the time between two repeats of the deadly request, and
+	// crashingBody crashes each target that begins to run a request with it.
+	crashingBody = "crashing"
+	// crashingInterval is the time between two repeats of the crashing request, and
 	// soundInterval the same for other writes.
-	deadlyInterval = 100 * time.Millisecond
-	soundInterval  = 20 * time.Millisecond
+	crashingInterval = 100 * time.Millisecond
+	soundInterval    = 20 * time.Millisecond
 	// targetRestart is how long a crashed target stays away.
 	targetRestart = time.Second
 	// settleTime is how long after the third crash further attempts are not counted, and
@@ -43,16 +43,16 @@
 
 	mu        sync.Mutex
 	crashedAt []time.Time
-	refusedAt map[string]time.Time // by entry instance: when it last refused the deadly request
+	refusedAt map[string]time.Time // by entry instance: when it last refused the crashing request
 }
 
 func newCrashPlay() *crashPlay {
 	return &crashPlay{client: &http.Client{Timeout: requestTimeout}, refusedAt: map[string]time.Time{}}
 }
 
-// crashesOn ends a target that gets the deadly request and starts another one later.
+// crashesOn ends a target that gets the crashing request and starts another one later.
 func (p *crashPlay) crashesOn(t *target, body []byte) bool {
-	if string(body) != deadlyBody {
+	if string(body) != crashingBody {
 		return false
 	}
 	p.mu.Lock()
@@ -94,8 +94,8 @@
 	}
 }
 
-func (p *crashPlay) sendDeadly(ctx context.Context, n int, e *instance) {
-	_, text, err := p.write(ctx, e, deadlyBody, fmt.Sprint("deadly-", n), deadlyBody)
+func (p *crashPlay) sendCrashing(ctx context.Context, n int, e *instance) {
+	_, text, err := p.write(ctx, e, crashingBody, fmt.Sprint("crashing-", n), crashingBody)
 	if err == nil && strings.Contains(text, quarantinedText) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -103,7 +103,7 @@
 	}
 }
 
-// awaitRefusal waits until each entry instance refuses the deadly request.
+// awaitRefusal waits until each entry instance refuses the crashing request.
 func (p *crashPlay) awaitRefusal(ctx context.Context) error {
 	since := time.Now()
 	return cluster.WaitUntil(ctx, "all entry instances to refuse the request", func() bool {
@@ -135,7 +135,7 @@
 	defer callers.Wait()
 	defer stop()
 	callers.Go(func() {
-		p.repeat(ctx, deadlyInterval, func(n int, e *instance) { p.sendDeadly(ctx, n, e) })
+		p.repeat(ctx, crashingInterval, func(n int, e *instance) { p.sendCrashing(ctx, n, e) })
 	})
 	callers.Go(func() {
 		p.repeat(ctx, soundInterval, func(n int, e *instance) {
