--- a/standin/soak/crashing_request_test.go
+++ b/standin/soak/crashing_request_test.go
@@ -63,7 +63,7 @@
 		p.deployment.mu.Lock()
 		defer p.deployment.mu.Unlock()
 		p.targets = slices.DeleteFunc(p.targets, func(x *target) bool { return x == t })
-		_, _ = p.addTargetOf(t.self.Service) // without it the checks of sound requests fail
+		_, _ = p.addTargetOf(t.self.Service) // without any target checkSoundServed fails
 	})
 	return true
 }
@@ -155,6 +155,16 @@
 			return err
 		}
 	}
+	return p.checkSoundServed()
+}
+
+// checkSoundServed checks that each entry instance completes sound writes.
+func (p *crashPlay) checkSoundServed() error {
+	for _, e := range p.entries {
+		if !p.serves(e, keptKey) {
+			return fmt.Errorf("%s does not serve a sound write", e.Instance.Name)
+		}
+	}
 	return nil
 }
 
