--- a/internal/fleet/quarantines.go
+++ b/internal/fleet/quarantines.go
@@ -95,7 +95,7 @@
 	rest := slices.DeleteFunc(slices.Clone(s.Quarantines), func(x QuarantineRecord) bool {
 		return x.hasParts(q.Parts) || !q.Lifted && x.contains(q.Parts)
 	})
-	for len(rest) >= maxQuarantines || totalSize(rest)+q.size() > maxQuarantineTotalSize {
+	for len(rest) > 0 && (len(rest) >= maxQuarantines || totalSize(rest)+q.size() > maxQuarantineTotalSize) {
 		first := slices.MinFunc(rest, func(a, b QuarantineRecord) int { return a.Until.Compare(b.Until) })
 		rest = slices.DeleteFunc(rest, func(x QuarantineRecord) bool { return x.hasParts(first.Parts) })
 	}
--- a/internal/fleet/quarantines_test.go
+++ b/internal/fleet/quarantines_test.go
@@ -101,6 +101,8 @@
 	state, _ = c.machine.State()
 	assert.Assert(t, totalSize(state.Quarantines) <= maxQuarantineTotalSize)
 	assert.Assert(t, len(state.Quarantines[len(state.Quarantines)-1].Parts) == 2, "the new record stays")
+	var empty State
+	assert.Assert(t, empty.putQuarantine(QuarantineRecord{Parts: []string{strings.Repeat("x", maxQuarantineTotalSize)}, Times: 1}), "a record of another version of the program must not stop the group")
 	for _, bad := range []*api.FleetQuarantineRequest{reportOf(1, false), reportOf(0, false, "a"), reportOf(1, false, strings.Repeat("x", maxQuarantineBytes))} {
 		_, err := c.Quarantine(context.Background(), bad)
 		assert.ErrorContains(t, err, "quarantine of")
