--- a/review/harness/case_poison.go
+++ b/review/harness/case_poison.go
@@ -13,6 +13,8 @@
 	cases["poison"], sizes["poison"] = casePoison, [2]int{3, 3}
 }
 
+func newOwn() string { return fmt.Sprintf("%08x", rand.Uint32()) }
+
 // casePoison: one part of prompts crashes each server that begins to write an answer on it.
 // Requests with that part come with one of two first parts, which sound requests have too.
 func casePoison(d *deployment, trouble bool) int {
@@ -40,7 +42,7 @@
 		mu.Unlock()
 		p, err := d.startServer(serverSpec{
 			ID: id, Service: "assistant-llm", Zone: d.zones[zone], Address: fmt.Sprintf("%s.%d:%d", d.net, 200+zone, portServer), Slots: 24,
-			Events: 10, EventMs: 30, BeginMs: 100, Poison: poison, PoisonBeginMs: 1000,
+			Events: 10, EventMs: 30, BeginMs: 100, Poison: poison, PoisonBeginMs: 600,
 		})
 		if err != nil {
 			return err
@@ -72,67 +74,64 @@
 	var t tally
 	var wg sync.WaitGroup
 	entry := func(n int) string { return fmt.Sprintf("%s:%d", d.entries[n%3].ip, portEntry) }
-	send := func(kind string, n int, parts ...string) {
+	send := func(kind string, n int, own string, parts ...string) {
 		prefix := ""
 		for _, p := range parts {
 			prefix += p + ":150,"
 		}
-		prefix += fmt.Sprintf("%08x:100", rand.Uint32()) // the last part belongs to the request itself
+		prefix += own + ":100" // the last part belongs to the request itself or to its session
 		header := map[string]string{name("parts"): prefix, name("model"): "m", name("tokens"): "400,80"}
-		wg.Go(func() {
+		func() {
 			a := c.send(entry(n), "POST", "/appraisal/2f", bytes.Repeat([]byte{byte('a' + rand.IntN(26))}, 1000+rand.IntN(2000)), 7*time.Second, header, nil)
 			t.add(kind, a)
 			if kind != "sound" {
 				r.line("%s request %s at %s, parts %s, sent %.3f: status %d after %.2f s (%v)", kind, a.id, d.entries[n%3].name, prefix, a.sentAt.Sub(r.start).Seconds(), a.status, a.took.Seconds(), a.err)
 			}
-		})
+		}()
 	}
 	end := make(chan struct{})
-	// Sound requests with the same key come at all machines, eight within a second, every three seconds. Some of those
+	// Sound requests with the same key come at all machines, eight within a second, every four seconds. Some of those
 	// before the disruption have the first parts that requests with the crashing part have.
 	first := time.Now()
-	began := first.Add(9500 * time.Millisecond)
+	began := first.Add(9600 * time.Millisecond)
 	wg.Go(func() {
 		for n := 0; ; n++ {
 			select {
 			case <-end:
 				return
-			case <-time.After(time.Until(first.Add(time.Duration(n) * 3 * time.Second))):
+			case <-time.After(time.Until(first.Add(time.Duration(n) * 4 * time.Second))):
 			}
 			for i := range 8 {
-				send("sound", i, firstS, "e4402b7d")
-				time.Sleep(120 * time.Millisecond)
+				wg.Go(func() { send("sound", i, newOwn(), firstS, "e4402b7d") })
+				time.Sleep(100 * time.Millisecond)
 			}
-			if n < 3 {
-				send("sound", n, firstQ, "e4402b7d")
-				send("sound", n, firstR, "e4402b7d")
+			if n < 2 {
+				wg.Go(func() { send("sound", n, newOwn(), firstQ, "e4402b7d") })
+				wg.Go(func() { send("sound", n, newOwn(), firstR, "e4402b7d") })
 			}
 		}
 	})
 	time.Sleep(time.Until(began))
 	if trouble {
-		at := func(ms int, n int, first string) {
-			time.Sleep(time.Until(began.Add(time.Duration(ms) * time.Millisecond)))
-			send("poison", n, first, poison)
-		}
-		at(0, 0, firstQ)
-		at(0, 0, firstR)
-		at(600, 1, firstQ)
-		at(1250, 1, firstR)
-		at(1400, 2, firstR)
-		at(1900, 2, firstQ)
-		wg.Go(func() { // such requests still come
-			tick := time.NewTicker(4 * time.Second)
-			defer tick.Stop()
-			for n := 0; ; n++ {
-				select {
-				case <-end:
-					return
-				case <-tick.C:
-					send("poison", n, []string{firstQ, firstR}[n%2], poison)
+		// Two sessions ask on, each with a new request as soon as the last one has failed. Both
+		// begin at one machine.
+		for n, first := range []string{firstQ, firstR} {
+			own := newOwn()
+			wg.Go(func() {
+				for turn := 0; ; turn++ {
+					send("poison", 0, own, first, poison)
+					pause := 50 * time.Millisecond
+					if turn >= 2 {
+						pause = time.Duration(4+n) * time.Second
+					}
+					select {
+					case <-end:
+						return
+					case <-time.After(pause):
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 	time.Sleep(time.Until(began.Add(6 * time.Second)))
 	mu.Lock()
