--- a/review/harness/case_poison.go
+++ b/review/harness/case_poison.go
@@ -74,12 +74,12 @@
 	var t tally
 	var wg sync.WaitGroup
 	entry := func(n int) string { return fmt.Sprintf("%s:%d", d.entries[n%3].ip, portEntry) }
-	send := func(kind string, n int, own string, parts ...string) {
+	send := func(kind string, n int, own string, tokens int, parts ...string) {
 		prefix := ""
 		for _, p := range parts {
 			prefix += p + ":150,"
 		}
-		prefix += own + ":100" // the last part belongs to the request itself or to its session
+		prefix += fmt.Sprintf("%s:%d", own, tokens) // the last part belongs to the request itself or to its session
 		header := map[string]string{name("parts"): prefix, name("model"): "m", name("tokens"): "400,80"}
 		func() {
 			a := c.send(entry(n), "POST", "/appraisal/2f", bytes.Repeat([]byte{byte('a' + rand.IntN(26))}, 1000+rand.IntN(2000)), 7*time.Second, header, nil)
@@ -102,12 +102,12 @@
 			case <-time.After(time.Until(first.Add(time.Duration(n) * 4 * time.Second))):
 			}
 			for i := range 8 {
-				wg.Go(func() { send("sound", i, newOwn(), firstS, "e4402b7d") })
+				wg.Go(func() { send("sound", i, newOwn(), 100, firstS, "e4402b7d") })
 				time.Sleep(100 * time.Millisecond)
 			}
 			if n < 2 {
-				wg.Go(func() { send("sound", n, newOwn(), firstQ, "e4402b7d") })
-				wg.Go(func() { send("sound", n, newOwn(), firstR, "e4402b7d") })
+				wg.Go(func() { send("sound", n, newOwn(), 100, firstQ, "e4402b7d") })
+				wg.Go(func() { send("sound", n, newOwn(), 100, firstR, "e4402b7d") })
 			}
 		}
 	})
@@ -119,7 +119,7 @@
 			own := newOwn()
 			wg.Go(func() {
 				for turn := 0; ; turn++ {
-					send("poison", 0, own, first, poison)
+					send("poison", 0, own, 100+20*turn, first, poison)
 					pause := 50 * time.Millisecond
 					if turn >= 2 {
 						pause = time.Duration(4+n) * time.Second
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -98,7 +98,7 @@
 	go s.beat(time.Now().UnixMilli())
 	slots := make(chan struct{}, s.Slots)
 	var stamps atomic.Int64
-	return http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	err = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/healthz" {
 			w.WriteHeader(http.StatusOK)
 			return
@@ -128,6 +128,7 @@
 			// The kernel may close the listening socket of a killed process some microseconds
 			// after its channels; no network is as fast as loopback, so it is closed first here.
 			_ = listener.Close()
+			time.Sleep(5 * time.Millisecond)
 			_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
 			select {}
 		}
@@ -141,6 +142,10 @@
 		w.Header().Set("Content-Type", "application/octet-stream")
 		_, _ = w.Write(bytes.Repeat([]byte("x"), 800))
 	}))
+	if errors.Is(err, net.ErrClosed) {
+		select {} // about to crash
+	}
+	return err
 }
 
 // hasPart reports whether a prompt has a part, from entries ID:TOKENS.
