quarantine: a decision ends by construction, and a set of parts is one that a request had

Cause: decide repeated until nothing was found, with the lock held that every request needs. The parts that come with a crashing part were collected from several suspects of one crash ({q,p} and {r,p} gave {p,q,r}). No request had that set, so its quarantine explained nothing and was found again for ever.

Why it works: each round takes the crashes of its candidates off the open ones, so there are at most as many rounds as crashes; and a set is quarantined only if one suspect of each crash has all of it, so it explains them.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -19,74 +19,89 @@
 	certainCrashes = 5
 	// minRequests is how many requests, told apart by their own parts, must be suspects.
 	minRequests = 2
+	// maxSets is how many sets of parts one part may be quarantined in at a time. Further
+	// ones are found by the crashes that follow.
+	maxSets = 8
 	// cleanBefore is how long before its first crash a part's last success still counts.
 	cleanBefore = 2 * time.Second
 )
 
 // candidate is a set of parts that may crash targets.
 type candidate struct {
-	parts   []string // sorted
+	suspect string   // the part or identity that the crashes are counted of
+	parts   []string // sorted, suspect included
 	crashes int
-	in      []appearance // for an identity, the crashes that it is suspect of
+	in      []appearance // the crashes that suspect is suspect of
 }
 
-// decide quarantines the sets of parts that the known crashes prove. The caller holds
-// s.mu.
+// decide quarantines the sets of parts and then the identities that the known crashes
+// prove. The caller holds s.mu.
+//
+// Invariant: each round of quarantineParts and quarantineIdentities takes at least one
+// crash away from those that are still open, whatever becomes of its quarantines.
 func (s *Store) decide(now time.Time) {
 	s.decidedAt = now
 	s.expire(now)
-	for {
-		found := s.strongest(now)
+	s.quarantineParts(now)
+	s.quarantineIdentities(now)
+}
+
+// quarantineParts quarantines the sets of parts that are suspect of the most crashes, then
+// those that are suspect of the most of the other crashes, and so on.
+func (s *Store) quarantineParts(now time.Time) {
+	open := s.crashesWithout(s.explainedByParts)
+	for len(open) > 0 {
+		found := s.strongestParts(open)
 		if len(found) == 0 {
 			return
 		}
 		for _, c := range found {
 			s.quarantine(c, now)
+			open = c.unexplained(open)
 		}
 	}
 }
 
-// strongest returns the sets of parts or, if there are none, the identities that are
-// suspect of the most crashes, if these suffice.
-func (s *Store) strongest(now time.Time) []candidate {
-	if parts := s.strongestParts(); len(parts) > 0 {
-		return parts
-	}
-	return s.strongestIdentities(now)
+// unexplained returns the crashes that the candidate is not suspect of.
+func (c candidate) unexplained(crashes []*crash) []*crash {
+	return slices.DeleteFunc(crashes, func(x *crash) bool {
+		return slices.ContainsFunc(c.in, func(a appearance) bool { return a.crash == x })
+	})
 }
 
-// strongestParts returns the sets of parts that are suspect of the most crashes, if these
-// suffice. Several sets with the same number are returned only if the number is
-// certainCrashes or more; otherwise the next crash will tell.
-func (s *Store) strongestParts() []candidate {
-	index := indexParts(s.openCrashes(s.explainedByParts), func(p string) bool { return !IsIdentity(p) })
+// strongestParts returns the sets of parts that are suspect of the most of the open
+// crashes, if these suffice. Sets of several parts with the same number are returned only
+// if the number is certainCrashes or more; otherwise the next crash will tell.
+func (s *Store) strongestParts(open []*crash) []candidate {
+	index := indexParts(open, func(p string) bool { return !IsIdentity(p) })
 	best := mostCrashes(index, s.examine)
-	if len(best) > 1 && best[0].crashes < certainCrashes {
+	rivals := slices.ContainsFunc(best, func(c candidate) bool { return c.suspect != best[0].suspect })
+	if rivals && best[0].crashes < certainCrashes {
 		return nil
 	}
 	return best
 }
 
 // mostCrashes returns the candidates with the most crashes, each set of parts once.
-func mostCrashes(index map[string][]appearance, examine func(p string, in []appearance) (candidate, bool)) []candidate {
+func mostCrashes(index map[string][]appearance, examine func(p string, in []appearance) []candidate) []candidate {
 	var best []candidate
 	for _, p := range slices.Sorted(maps.Keys(index)) {
-		c, ok := examine(p, index[p])
-		if !ok {
-			continue
-		}
-		switch {
-		case len(best) == 0 || c.crashes > best[0].crashes:
-			best = []candidate{c}
-		case c.crashes == best[0].crashes && !slices.ContainsFunc(best, func(b candidate) bool { return slices.Equal(b.parts, c.parts) }):
-			best = append(best, c)
+		for _, c := range examine(p, index[p]) {
+			switch {
+			case len(best) == 0 || c.crashes > best[0].crashes:
+				best = []candidate{c}
+			case c.crashes == best[0].crashes && !slices.ContainsFunc(best, c.hasSameParts):
+				best = append(best, c)
+			}
 		}
 	}
 	return best
 }
 
-// openCrashes returns the crashes that are not explained.
-func (s *Store) openCrashes(explained func(*crash) bool) []*crash {
+func (c candidate) hasSameParts(other candidate) bool { return slices.Equal(c.parts, other.parts) }
+
+// crashesWithout returns the crashes that are not explained, in the order of their times.
+func (s *Store) crashesWithout(explained func(*crash) bool) []*crash {
 	var open []*crash
 	for _, c := range s.crashes {
 		if !explained(c) {
@@ -125,28 +140,41 @@
 	return index
 }
 
-// examine returns the set of parts that come with part p in each crash that p is
-// suspect of, p included. It returns false if the evidence does not suffice.
-func (s *Store) examine(p string, appearances []appearance) (candidate, bool) {
-	needed := minCrashes
+// examine returns the sets of parts that come with part p in each crash that p is
+// suspect of, p included. It returns none if the evidence does not suffice. A part that
+// is quarantined together with others is judged by the crashes that this explains, too.
+func (s *Store) examine(p string, open []appearance) []candidate {
+	first := open[0]
+	chain := chainLength(open)
+	needed, all := minCrashes, open
 	if s.isQuarantined(p) {
-		needed = minCrashesToNarrow
+		needed, all = minCrashesToNarrow, slices.Concat(s.appearancesInSets(p), open)
 	}
-	first := appearances[0]
-	since := first.at.Add(-cleanBefore)
-	chain := chainLength(appearances)
-	if chain < needed || countOwners(appearances) < minRequests {
-		return candidate{}, false
+	if chain < needed || countOwners(all) < minRequests {
+		return nil
 	}
-	if s.causedByOneRequest(appearances) {
-		return candidate{}, false
+	if s.causedByOneRequest(open) {
+		return nil
+	}
+	if s.cleanAfter(p, first.at.Add(-cleanBefore)) || !s.cleanAfter(serviceKey(first.service), first.at) {
+		return nil
 	}
-	if s.cleanAfter(p, since) || !s.cleanAfter(serviceKey(first.service), first.at) {
-		return candidate{}, false
+	since := all[0].at.Add(-cleanBefore)
+	clean := func(q string) bool { return s.cleanAfter(q, since) }
+	var found []candidate
+	for _, parts := range commonSets(p, all, clean) {
+		found = append(found, candidate{suspect: p, parts: parts, crashes: chain, in: open})
 	}
-	common := commonParts(appearances)
-	common = slices.DeleteFunc(common, func(q string) bool { return s.cleanAfter(q, since) })
-	return candidate{parts: common, crashes: chain}, true
+	return found
+}
+
+// appearancesInSets returns the crashes that quarantines of p together with other parts
+// explain, and no other quarantine of parts does.
+func (s *Store) appearancesInSets(p string) []appearance {
+	withPart := func(r *record) bool { return slices.Contains(r.Parts, p) }
+	others := func(r *record) bool { return !r.IsRequest() && !withPart(r) }
+	explained := s.crashesWithout(func(c *crash) bool { return !s.explainedBy(c, withPart) || s.explainedBy(c, others) })
+	return indexParts(explained, func(q string) bool { return q == p })[p]
 }
 
 // causedByOneRequest reports whether repeats of one request may be the cause of all the
@@ -207,19 +235,3 @@
 	}
 	return len(owners)
 }
-
-// commonParts returns the parts that come with each of the appearances, sorted.
-func commonParts(appearances []appearance) []string {
-	seenIn := map[string]int{}
-	for n, a := range appearances {
-		for _, x := range a.suspects {
-			for _, p := range x.Shared {
-				if seenIn[p] == n {
-					seenIn[p]++
-				}
-			}
-		}
-	}
-	maps.DeleteFunc(seenIn, func(p string, n int) bool { return n < len(appearances) || IsIdentity(p) })
-	return slices.Sorted(maps.Keys(seenIn))
-}
--- a/internal/quarantine/identity.go
+++ b/internal/quarantine/identity.go
@@ -47,30 +47,52 @@
 // names may be one: served, it would clear the request that has this identity.
 func IsIdentity(part string) bool { return strings.HasPrefix(part, IdentityPrefix) }
 
-// strongestIdentities returns the identities that are suspect of the most crashes, if
-// these suffice and a quarantine does not explain them all. Those that are suspect of the
-// same crashes are returned only if these are certainRepeats or more.
-func (s *Store) strongestIdentities(now time.Time) []candidate {
-	index := indexParts(s.openCrashes(s.explainedByParts), IsIdentity)
-	best := mostCrashes(index, s.examineIdentity)
+// quarantineIdentities quarantines the identities that are suspect of the most crashes,
+// then those that are suspect of the most of the crashes that these do not explain, and so
+// on. Crashes that the quarantine of another request explains count, too.
+func (s *Store) quarantineIdentities(now time.Time) {
+	crashes := s.crashesWithout(s.explainedByParts)
+	open := s.crashesWithout(s.explained)
+	for len(open) > 0 {
+		found := s.strongestIdentities(crashes, open, now)
+		if len(found) == 0 {
+			return
+		}
+		for _, c := range found {
+			s.quarantine(c, now)
+			open = c.unexplained(open)
+		}
+	}
+}
+
+// strongestIdentities returns the identities that are suspect of the most crashes, one of
+// the open ones at least, if these suffice. Those that are suspect of the same crashes are
+// returned only if these are certainRepeats or more.
+func (s *Store) strongestIdentities(crashes, open []*crash, now time.Time) []candidate {
+	isOpen := func(a appearance) bool { return slices.Contains(open, a.crash) }
+	best := mostCrashes(indexParts(crashes, IsIdentity), func(identity string, in []appearance) []candidate {
+		if !slices.ContainsFunc(in, isOpen) {
+			return nil
+		}
+		return s.examineIdentity(identity, in)
+	})
 	return slices.DeleteFunc(slices.Clone(best), func(c candidate) bool {
 		return c.isRecent(now) || (c.crashes < certainRepeats && slices.ContainsFunc(best, c.rivals))
 	})
 }
 
-// examineIdentity returns the candidate for an identity. It returns false if the evidence
-// does not suffice. Unlike requests with a common part, repeats may have been sent to
-// several targets at once.
-func (s *Store) examineIdentity(identity string, in []appearance) (candidate, bool) {
+// examineIdentity returns the candidate for an identity; none if the evidence does not
+// suffice. Unlike requests with a common part, repeats may have been sent to several
+// targets at once.
+func (s *Store) examineIdentity(identity string, in []appearance) []candidate {
 	if len(in) < minCrashes {
-		return candidate{}, false
+		return nil
 	}
 	first := in[0]
-	open := slices.ContainsFunc(in, func(a appearance) bool { return !s.explained(a.crash) })
-	if !open || s.cleanAfter(identity, first.at.Add(-cleanBefore)) || !s.cleanAfter(serviceKey(first.service), first.at) {
-		return candidate{}, false
+	if s.cleanAfter(identity, first.at.Add(-cleanBefore)) || !s.cleanAfter(serviceKey(first.service), first.at) {
+		return nil
 	}
-	return candidate{parts: []string{identity}, crashes: len(in), in: in}, true
+	return []candidate{{suspect: identity, parts: []string{identity}, crashes: len(in), in: in}}
 }
 
 // undecided returns until when a request is refused because its targets have just
