quarantine: records that displace each other settle, and the length of a decision is bounded

A record for which there is no room takes its evidence with it. The suspects' parts are bounded in total, and the oldest crashes give way; those of five crashes always fit.

--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -141,6 +141,7 @@
 		s.mergeCrash(c, now)
 		clears = clears || s.clearsSuspect(c, m.GetServed(), now)
 	}
+	s.boundSharedParts()
 	for _, q := range m.GetQuarantines() {
 		s.mergeRecord(q, now)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -36,6 +36,10 @@
 	// maxSuspects bounds the suspects of one crash; a target begins only a few requests at
 	// a time.
 	maxSuspects = 32
+	// maxSharedParts bounds the parts of all suspects, and so the length of a decision, for
+	// which every request waits. The oldest crashes give way; those of certainCrashes
+	// crashes fit.
+	maxSharedParts = 12 << 10
 	// maxCleanParts bounds the parts whose last success is known. Those that were served
 	// least recently are forgotten first.
 	maxCleanParts = 4096
@@ -88,6 +92,11 @@
 	service  string
 	at       time.Time
 	suspects []Suspect
+	// sharedParts is the number of the suspects' shared parts.
+	sharedParts int
+	// forgotten tells of quarantines that explained the crash and gave way to others. The
+	// crash does not lead to them again.
+	forgotten struct{ parts, request bool }
 }
 
 // Store holds the crashes, the clean parts and the quarantines that one instance
@@ -144,6 +153,7 @@
 		c.at = at
 	}
 	c.addSuspect(suspect)
+	s.boundSharedParts()
 	s.log.Warn().Str("target", id.Target).Str("service", service).Strs("parts", suspect.Shared).Str("own", suspect.Own).
 		Dur("sent_before", at.Sub(suspect.SentAt)).Msg("target crashed while it began to answer")
 	s.decide(now)
@@ -166,12 +176,26 @@
 	}
 }
 
+// boundSharedParts forgets the oldest crashes while there are more than maxSharedParts.
+func (s *Store) boundSharedParts() {
+	total := 0
+	for _, c := range s.crashes {
+		total += c.sharedParts
+	}
+	for total > maxSharedParts && len(s.crashes) > 1 {
+		total -= s.crashes[0].sharedParts
+		s.crashes = slices.Delete(s.crashes, 0, 1)
+		s.metrics.Counter("quarantine.crashes_forgotten").Inc(1)
+	}
+}
+
 func (c *crash) addSuspect(x Suspect) {
 	known := slices.ContainsFunc(c.suspects, func(y Suspect) bool {
 		return y.Own == x.Own && slices.Equal(y.Shared, x.Shared)
 	})
 	if !known && len(c.suspects) < maxSuspects {
 		c.suspects = append(c.suspects, x)
+		c.sharedParts += len(x.Shared)
 	}
 }
 
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -61,13 +61,13 @@
 
 // explained reports whether a quarantine is the cause of a crash.
 func (s *Store) explained(c *crash) bool {
-	return s.explainedBy(c, func(*record) bool { return true })
+	return c.forgotten.parts || c.forgotten.request || s.explainedBy(c, func(*record) bool { return true })
 }
 
 // explainedByParts is explained without the quarantines of whole requests: their crashes
 // are still evidence against the parts that the request has in common with others.
 func (s *Store) explainedByParts(c *crash) bool {
-	return s.explainedBy(c, func(r *record) bool { return !r.IsRequest() })
+	return c.forgotten.parts || s.explainedBy(c, func(r *record) bool { return !r.IsRequest() })
 }
 
 func (s *Store) explainedBy(c *crash, counts func(*record) bool) bool {
@@ -132,7 +132,21 @@
 			oldest = x
 		}
 	}
-	delete(s.quarantines, key(oldest.Parts))
+	s.forget(oldest)
+}
+
+// forget removes a record for which there is no room, with the crashes that led to it:
+// they would lead to it again at once, and so displace another one.
+func (s *Store) forget(r *record) {
+	delete(s.quarantines, key(r.Parts))
+	for _, c := range s.crashes {
+		if r.explains(c) {
+			c.forgotten.parts = c.forgotten.parts || !r.IsRequest()
+			c.forgotten.request = c.forgotten.request || r.IsRequest()
+		}
+	}
+	s.metrics.Counter("quarantine.forgotten").Inc(1)
+	s.log.Error().Strs("parts", r.Parts).Int("kept", len(s.quarantines)).Msg("quarantine forgotten, there are too many")
 }
 
 // correct removes the parts that were served from the quarantines. One without a part
