watchdog: an instance that no request can get through is not ready

Cause: readiness was decided from the manifest and the planned stop alone. An entry instance now takes every half second the steps that each request takes (locks of the forwarder, the targets, the view and the quarantines). One that has not returned in four rounds makes the instance not ready, and callers are not sent to it until it returns. Rounds are counted, not time, so that a freeze of the process is none.

Evidence: TestStuckCheckIsReportedUntilItReturns, TestSlowCheckIsNotStuck, TestInstanceThatDoesNotServeIsReportedAsLeaving; all are new, nothing did this before.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -49,6 +49,7 @@
 
 	mu   sync.Mutex
 	self Watcher
+	left bool // Leave was called
 	load func() float64
 	// selfContext ends when self changes.
 	selfContext context.Context
@@ -95,7 +96,22 @@
 func (f *Follower) Leave() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.self.Leaving = true
+	f.left = true
+	f.setLeaving(true)
+}
+
+// SetServing reports immediately whether callers may be sent to this instance. After Leave
+// it has no effect.
+func (f *Follower) SetServing(serving bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.setLeaving(f.left || !serving)
+}
+
+// setLeaving interrupts the polls in progress, so that the next ones report the change.
+// The caller holds f.mu.
+func (f *Follower) setLeaving(leaving bool) {
+	f.self.Leaving = leaving
 	f.endSelf()
 	f.selfContext, f.endSelf = context.WithCancel(context.Background())
 }
@@ -210,7 +226,7 @@
 	})
 	if err != nil {
 		if selfContext.Err() != nil {
-			return nil // Leave interrupted the call; the next poll reports that this instance leaves
+			return nil // setLeaving interrupted the call; the next poll reports the change
 		}
 		return err
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -23,6 +23,7 @@
 	"github.com/endivetrack/endivetrack/internal/quarantine"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 	"github.com/endivetrack/endivetrack/internal/streamversion"
+	"github.com/endivetrack/endivetrack/internal/watchdog"
 )
 
 // Limits for streams and deadlines near their end.
@@ -146,6 +147,16 @@
 	return view.Manifest != nil && !f.isStopping()
 }
 
+// Checks returns the steps that every request takes here, for a watchdog.
+func (f *Forwarder) Checks() []watchdog.Check {
+	return []watchdog.Check{
+		{Name: "forwarder", Run: func() { f.isStopping() }},
+		{Name: "targets", Run: func() { f.table.instanceCount() }},
+		{Name: "view", Run: func() { f.config.Views.View() }},
+		{Name: "quarantine", Run: func() { f.config.Quarantine.Match(nil) }},
+	}
+}
+
 // Stop begins a planned stop: from then on every response asks the caller to
 // close its connection, and new streams are refused after newStreamGrace.
 func (f *Forwarder) Stop() {
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -14,6 +14,7 @@
 	"github.com/endivetrack/endivetrack/internal/manifest"
 	"github.com/endivetrack/endivetrack/internal/quarantine"
 	"github.com/endivetrack/endivetrack/internal/streamversion"
+	"github.com/endivetrack/endivetrack/internal/watchdog"
 )
 
 // Memory and shutdown limits of an entry instance.
@@ -83,6 +84,8 @@
 	}
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
+	dog := watchdog.New(env.Log, env.Metrics, follower.SetServing, forwarder.Checks()...)
+	go dog.Run(background)
 	go follower.Run(background)
 	go forwarder.Run(background)
 	go exchange.Run(background)
@@ -95,7 +98,8 @@
 	go conns.closeOverdue(background)
 	err = s.start(ctx, c.CallerAddress, forwarder, conns.attachTo)
 	if err == nil {
-		err = s.start(ctx, c.ReadyAddress, c.ReadyHandler(forwarder.Ready), nil)
+		ready := func() bool { return dog.Healthy() && forwarder.Ready() }
+		err = s.start(ctx, c.ReadyAddress, c.ReadyHandler(ready), nil)
 	}
 	if err == nil && c.MetricsAddress != "" {
 		err = s.start(ctx, c.MetricsAddress, quarantined.Handler(env.MetricsHandler(logOutput)), nil)
