forward: a planned stop takes only requests that it can end

What callers saw: of 36 writes sent over the grace period of one stopping instance, 8 were passed on and cut at its end with no answer (work of 6 s, grace of 8 s).

Cause: only new streams were refused late in a stop; plain requests were taken whatever time was left. The instance now knows the slowest recent request of each route and refuses, before anything has run, what may not end in time. What no target has answered 150 ms before the end gets a 504.

Evidence: TestStopCutsNoWriteThatItTook failed with the check taken out (13 of 52 writes cut or late), TestStopAnswersWhatStillRunsAtItsEnd got no answer; both pass.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -26,12 +26,7 @@
 	"github.com/endivetrack/endivetrack/internal/watchdog"
 )
 
-// Limits for streams and deadlines near their end.
 const (
-	// newStreamGrace is how long after the start of a planned stop new streams are
-	// accepted. Callers that cache the instance's address longest still connect
-	// until about then. A later stream would end incomplete when the process exits.
-	newStreamGrace = 2800 * time.Millisecond
 	// deadlineMargin is subtracted from the deadline that is sent to a target,
 	// so that the target times out before the caller does.
 	deadlineMargin = 20 * time.Millisecond
@@ -106,9 +101,10 @@
 	work      workMeter
 	pending   pendingAttempts
 
-	mu sync.Mutex
-	// stoppedAt is when the planned stop began; zero before it.
-	stoppedAt     time.Time
+	durations *durations
+	stop      plannedStop
+
+	mu            sync.Mutex
 	bufferedBytes int64
 }
 
@@ -120,7 +116,7 @@
 	if c.StreamVersions == nil {
 		c.StreamVersions = streamversion.NewStore(maxLocalStreams, time.Now)
 	}
-	f := &Forwarder{config: c, table: newTable(c.Self, c.Regions), budget: newBudget(c.Budget), latencies: newObserver(c.Metrics)}
+	f := &Forwarder{config: c, table: newTable(c.Self, c.Regions), budget: newBudget(c.Budget), latencies: newObserver(c.Metrics), durations: newDurations()}
 	c.Quarantine.OnBegin(f.pending.withdraw)
 	return f
 }
@@ -157,28 +153,6 @@
 	}
 }
 
-// Stop begins a planned stop: from then on every response asks the caller to
-// close its connection, and new streams are refused after newStreamGrace.
-func (f *Forwarder) Stop() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.stoppedAt = time.Now()
-}
-
-func (f *Forwarder) isStopping() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.stoppedAt.IsZero()
-}
-
-// acceptsStreams reports whether a new stream can still complete before the
-// process exits.
-func (f *Forwarder) acceptsStreams() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.stoppedAt.IsZero() || time.Since(f.stoppedAt) < newStreamGrace
-}
-
 // ServeHTTP serves one caller attempt.
 func (f *Forwarder) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	w := &callerResponse{ResponseWriter: out}
@@ -197,6 +171,7 @@
 		f.writeError(w, r, q, err)
 		return
 	}
+	defer func() { f.durations.end(q, time.Now()) }()
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	if q.route.Kind == manifest.Streaming {
--- a/internal/forward/pending.go
+++ b/internal/forward/pending.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// cancelAll ends all attempts that targets have not begun to answer.
+func (p *pendingAttempts) cancelAll(cause error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a := range p.attempts {
+		a.cancel(cause)
+	}
+}
+
 // withdrawnError returns errWithdrawn if the attempt failed because it was withdrawn, and
 // err otherwise.
 func withdrawnError(ctx context.Context, err error) error {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -22,7 +22,14 @@
 		return nil
 	}
 	d, now := f.table.demandFor(q, a.exclude), time.Now()
+	if a.runs == 0 {
+		if err := f.checkStop(q, now); err != nil {
+			a.lastErr = err
+			return nil
+		}
+	}
 	if l := f.table.acquireLease(d, now); l != nil {
+		f.durations.begin(q, now)
 		return l
 	}
 	if wait, limited := f.table.untilAdmission(d, now); limited {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -230,7 +230,7 @@
 // mayRetry decides whether another target is tried after a failed attempt. An
 // attempt that was not sent does not count against the retry budget.
 func (f *Forwarder) mayRetry(ctx context.Context, q *request, a *attemptHistory, o *outcome) bool {
-	if ctx.Err() != nil || q.timeLeft() < minTimeLeft || a.sends >= maxSends {
+	if ctx.Err() != nil || f.stop.isEnding() || q.timeLeft() < minTimeLeft || a.sends >= maxSends {
 		return false
 	}
 	if a.runs > 0 && (!q.repeatable() || a.runs >= q.route.MaxAttempts) {
@@ -252,6 +252,8 @@
 		return refusal
 	case !a.outcomeUnknown && a.runs == 0:
 		return resultcode.Newf(resultcode.NoTarget, "no target of %q accepted the request (%v)", q.service.Name, a.lastErr)
+	case f.stop.isEnding():
+		return resultcode.Newf(resultcode.OutcomeUnknown, "the instance stops before the target has answered").WithExecution(resultcode.Unknown)
 	case ctx.Err() != nil || errors.Is(a.lastErr, context.DeadlineExceeded):
 		return resultcode.Newf(resultcode.OutcomeUnknown, "no response in time").WithExecution(resultcode.Unknown)
 	}
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -115,7 +115,7 @@
 	}
 	stopAt := time.Now().Add(c.Grace - stopMargin)
 	env.Log.Info().Msg("stopping")
-	forwarder.Stop()
+	forwarder.Stop(stopAt)
 	follower.Leave()
 	time.Sleep(min(leaveDelay, time.Until(stopAt)))
 	stopCtx, cancel := context.WithDeadline(context.Background(), stopAt)
