forward: the rest of a stream is asked of a process that is known to be the announced one

What callers would see: pieces of two software versions joined in one stream, when the instance that they turn to was frozen or cut off while a target restarted under its ID with another version.

Cause: the next target's version was decided from its last announcement; nothing tied that to the process which answers. Each continuation now uses a new connection on which the engine has just named its incarnation. While the instance hears of no changes, so does the beginning of a stream that may be taken up.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -58,6 +58,7 @@
 	lastListed  map[string]time.Time // time of the last response that listed a control instance; keyed by address, like polling and reachable
 	polling     map[string]bool
 	reachable   map[string]location // the control instances that respond
+	contactAt   time.Time           // of the newest response of a control instance
 	wake        wakeup.Flag         // set when a poll loop may have to be started
 	started     wakeup.Flag         // set when a control instance has started
 	workers     sync.WaitGroup
@@ -108,6 +109,14 @@
 	f.setLeaving(f.left || !serving)
 }
 
+// InContact reports whether a control instance has responded lately, so that this instance
+// has heard of changes.
+func (f *Follower) InContact() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.contactAt) < idlePollWait+pollTimeoutMargin
+}
+
 // setLeaving interrupts the polls in progress, so that the next ones report the change.
 // The caller holds f.mu.
 func (f *Follower) setLeaving(leaving bool) {
@@ -244,6 +253,9 @@
 
 // applyResponse merges a response into the view store and advances the position.
 func (f *Follower) applyResponse(resp *api.FleetWatchResponse, p *position) {
+	f.mu.Lock()
+	f.contactAt = time.Now()
+	f.mu.Unlock()
 	var state *State
 	if resp.GetState() != nil {
 		state = stateFromProto(resp.GetState())
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -93,7 +93,7 @@
 // unread. Any error other than a notSentError means that the request may have
 // run.
 func (f *Forwarder) sendRequest(ctx context.Context, l *lease, q *request, resume *resumePoint) (*targetResponse, error) {
-	conn, err := l.conn(ctx, !q.repeatable())
+	conn, err := f.connect(ctx, l, q, resume)
 	if err != nil {
 		return nil, &notSentError{err}
 	}
@@ -125,6 +125,22 @@
 	return &targetResponse{Response: resp, conn: conn, detachContext: stop}, nil
 }
 
+// connect returns a connection on which the request may be sent.
+func (f *Forwarder) connect(ctx context.Context, l *lease, q *request, resume *resumePoint) (*targetConn, error) {
+	if !f.mustConfirm(q, resume) {
+		return l.conn(ctx, !q.repeatable())
+	}
+	conn, err := l.newConn(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.confirmIncarnation(ctx, conn, q, l.endpoint); err != nil {
+		l.dropConn(conn)
+		return nil, err
+	}
+	return conn, nil
+}
+
 // readResponseHead reads the status and header of the response to q. Late
 // responses to other requests are discarded.
 func (f *Forwarder) readResponseHead(conn *targetConn, q *request) (*http.Response, error) {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -53,6 +53,11 @@
 	if c := l.table.takeIdle(l.endpoint, mustNotRepeat, time.Now()); c != nil {
 		return c, nil
 	}
+	return l.newConn(ctx)
+}
+
+// newConn returns a new connection to the lease's endpoint.
+func (l *lease) newConn(ctx context.Context) (*targetConn, error) {
 	l.table.addConns(l.endpoint, 1)
 	raw, err := netconn.Dial(ctx, l.endpoint.address)
 	if err != nil {
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -38,6 +39,7 @@
 	mu       sync.Mutex
 	requests []seenRequest
 	open     int
+	restarts int64 // under the same ID and address
 	respond  func(r seenRequest, c net.Conn)
 }
 
@@ -78,6 +80,10 @@
 			return
 		}
 		seen := seenRequest{r, string(body)}
+		if r.URL.Path == testReportPath {
+			f.report(c)
+			continue
+		}
 		f.mu.Lock()
 		f.requests = append(f.requests, seen)
 		respond := f.respond
@@ -86,6 +92,17 @@
 	}
 }
 
+// testReportPath is the path of a target's report on itself.
+const testReportPath = "/t-report"
+
+// report answers with the incarnation.
+func (f *fakeTarget) report(c net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	body := strconv.FormatInt(f.restarts+1, 10) // fixtures announce incarnation 1
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
 func (f *fakeTarget) count(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -253,6 +270,13 @@
 	return move(engine, id, to, last)
 }
 
+func (e *fakeEngines) ReportPath() string { return testReportPath }
+
+func (e *fakeEngines) ReportedIncarnation(body []byte) (int64, bool) {
+	n, err := strconv.ParseInt(string(body), 10, 64)
+	return n, err == nil
+}
+
 func (e *fakeEngines) Release(_ context.Context, _, handle string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -63,6 +63,10 @@
 	Move(ctx context.Context, engine, requestID, to string, last bool, beforeSend func()) (Copy, error)
 	// Release frees a copy at both engines.
 	Release(ctx context.Context, engine, handle string) error
+	// ReportPath is the path of an engine's report on itself, and ReportedIncarnation
+	// returns the incarnation that the body of such a report names; false if it names none.
+	ReportPath() string
+	ReportedIncarnation(body []byte) (int64, bool)
 }
 
 // Config holds the settings and dependencies of a Forwarder.
@@ -79,8 +83,10 @@
 	// StreamVersions remembers the versions that began streams. If it is nil, New creates one
 	// that no other instance shares.
 	StreamVersions StreamVersions
-	Logger         zerolog.Logger
-	Metrics        tally.Scope
+	// InContact reports whether this instance hears of changes of the targets; nil: always.
+	InContact func() bool
+	Logger    zerolog.Logger
+	Metrics   tally.Scope
 	// BufferBytes bounds the total size of the request bodies in memory.
 	BufferBytes int64
 }
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -74,7 +74,7 @@
 	streams := streamversion.NewTracker(views, follower, env.PeerClient, env.Metrics, time.Now)
 	forwarder := forward.New(forward.Config{
 		Self: forward.Location{Name: c.Name, Region: c.Region, FailureDomain: c.FailureDomain}, Regions: c.Regions,
-		Headers: c.Headers, Engines: c.Engines, Budget: c.Budget, Views: views, Quarantine: quarantined, StreamVersions: streams,
+		Headers: c.Headers, Engines: c.Engines, Budget: c.Budget, Views: views, Quarantine: quarantined, StreamVersions: streams, InContact: follower.InContact,
 		Logger: env.Log, Metrics: env.Metrics, BufferBytes: bufferBytes,
 	})
 	follower.ReportLoad(func() float64 { return c.load(forwarder.Work()) })
