process: what peers answer is bounded, on every status

What callers would see: processes that end for want of memory, and all their requests with them, when a server at an address that a peer had sends bytes without end.

Cause: the client for calls between processes had no bound on bodies and the library's 10 MB on heads. It reads 64 KiB of a head or an error and 16 MiB of a success now.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -92,6 +92,8 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true, // saves the Accept-Encoding header, because messages are small and binary
+
+		MaxResponseHeaderBytes: maxPeerHeadBytes,
 	}
 	return &http.Client{Transport: PeerTransport(peerKey, clock, idleConnectionCloser{base})}
 }
@@ -109,19 +111,37 @@
 // errNotAPeer means that the server at a peer's address is none of the system's processes.
 var errNotAPeer = errors.New("the response is not that of a peer")
 
-// peerChecker refuses successes that are not a peer's. Another server may run at an address
+// Bounds of what is read of a response, in bytes. Another server may run at an address that
+// a peer had, and send without end until the connection is closed.
+const (
+	maxPeerHeadBytes = 64 << 10
+	// maxPeerResponseBytes exceeds the largest document that peers send.
+	maxPeerResponseBytes = 16 << 20
+	// maxPeerErrorBytes bounds the body of a response that is no success.
+	maxPeerErrorBytes = 64 << 10
+)
+
+// peerChecker bounds the bodies of responses and refuses successes that are not a peer's. Another server may run at an address
 // that a peer had, and an empty body decodes as any message.
 type peerChecker struct {
 	next http.RoundTripper
 }
 
-// RoundTrip sends the request and checks the content type of a success.
+// RoundTrip sends the request and checks the content type of a success. A body over its
+// bound ends with an error.
 func (t peerChecker) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.next.RoundTrip(r)
 	if err == nil && resp.StatusCode == http.StatusOK && resp.Header.Get("Content-Type") != peerContentType {
 		_ = resp.Body.Close() // an error of Close changes nothing because the response is refused
 		return nil, errNotAPeer
 	}
+	if err == nil {
+		limit := int64(maxPeerErrorBytes)
+		if resp.StatusCode == http.StatusOK {
+			limit = maxPeerResponseBytes
+		}
+		resp.Body = http.MaxBytesReader(nil, resp.Body, limit)
+	}
 	return resp, err
 }
 
