forward: what targets say of themselves in answers decides whether they get requests

What each incarnation has said stands in one place (statements.go), and one function decides from it and the announcements whether it may get a request now. Leaving begins a drain, is told to other instances with the loads, and no announcement of the incarnation takes it back. In a quiet time the target gets no request, whatever was placed before; afterwards its slots open over a second. While no other target can serve, the caller is refused at once, truly, with the time until the first accepts requests again. Operators list and lift statements at /target-statements.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -100,7 +100,7 @@
 	stop := conn.expireWith(ctx)
 	data := f.serializeRequest(q, l.endpoint, resume)
 	switch {
-	case !f.table.isUsable(l.endpoint) && !resume.isCopy():
+	case !f.table.mayBeginAt(l.endpoint, resume.isCopy(), time.Now()):
 		err = errNotUsable
 	case ctx.Err() != nil:
 		err = ctx.Err()
@@ -121,7 +121,7 @@
 		l.dropConn(conn)
 		return nil, fmt.Errorf("read answer: %w", err)
 	}
-	f.recordLimit(l.endpoint, resp)
+	f.recordStatements(l.endpoint, "request "+q.id, resp.StatusCode, resp.Header)
 	return &targetResponse{Response: resp, conn: conn, detachContext: stop}, nil
 }
 
--- a/internal/forward/confirm.go
+++ b/internal/forward/confirm.go
@@ -68,6 +68,7 @@
 	if resp.Close || !netconn.IsFramed(resp) || len(body) == maxReportBytes {
 		return errNoReport // no request can follow on this connection
 	}
+	f.recordStatements(e, "report", resp.StatusCode, resp.Header)
 	incarnation, ok := f.config.Engines.ReportedIncarnation(body)
 	switch {
 	case resp.StatusCode != http.StatusOK || !ok:
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -27,7 +27,7 @@
 // testHeaders are header names that only these tests use.
 var testHeaders = Headers{
 	RequestID: "T-Id", Deadline: "T-Deadline", AccountKey: "T-Key", Account: "T-Account", ExpectTarget: "T-Expect", NotRun: "T-Not-Run",
-	Stamp: "T-Stamp", Limit: "T-Limit", Priority: "T-Priority", Tokens: "T-Tokens", LengthHint: "T-Hint", PromptParts: "T-Parts", CopyFrom: "T-Copy", LastEventID: "Last-Event-Id", Resumes: "T-Resumes",
+	Stamp: "T-Stamp", Limit: "T-Limit", Leaving: "T-Leaving", Priority: "T-Priority", Tokens: "T-Tokens", LengthHint: "T-Hint", PromptParts: "T-Parts", CopyFrom: "T-Copy", LastEventID: "Last-Event-Id", Resumes: "T-Resumes",
 	Reserved: []string{"T-Hold"},
 }
 
@@ -252,6 +252,7 @@
 	move        func(engine, id, to string, last bool) (Copy, error)
 	unreachable func(last bool) error
 	released    []string
+	onAnswer    func(engine string, status int, header http.Header)
 }
 
 func (e *fakeEngines) Move(_ context.Context, engine, id, to string, last bool, beforeSend func()) (Copy, error) {
@@ -270,6 +271,10 @@
 	return move(engine, id, to, last)
 }
 
+func (e *fakeEngines) OnAnswer(call func(engine string, status int, header http.Header)) {
+	e.onAnswer = call
+}
+
 func (e *fakeEngines) ReportPath() string { return testReportPath }
 
 func (e *fakeEngines) ReportedIncarnation(body []byte) (int64, bool) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -42,6 +42,7 @@
 	ExpectTarget string // ID of the target that the request is addressed to
 	NotRun       string // a target's statement that the request did not run
 	Limit        string // requests per second that a target accepts from all instances together
+	Leaving      string // a target's statement that it leaves: "1"
 	Stamp        string // a target's signature of a response
 	Priority     string // priority of the request at an engine
 	Tokens       string // prompt tokens and maximum output tokens, see parseTokens
@@ -66,6 +67,9 @@
 	// ReportPath is the path of an engine's report on itself, and ReportedIncarnation
 	// returns the incarnation that the body of such a report names; false if it names none.
 	ReportPath() string
+	// OnAnswer sets a function that is called with each response to Move and Release. It
+	// must be set before the first call.
+	OnAnswer(call func(engine string, status int, header http.Header))
 	ReportedIncarnation(body []byte) (int64, bool)
 }
 
@@ -124,6 +128,9 @@
 	}
 	f := &Forwarder{config: c, table: newTable(c.Self, c.Regions), budget: newBudget(c.Budget), latencies: newObserver(c.Metrics), durations: newDurations()}
 	c.Quarantine.OnBegin(f.pending.withdraw)
+	if c.Engines != nil {
+		c.Engines.OnAnswer(f.recordEngineAnswer)
+	}
 	return f
 }
 
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -30,8 +30,8 @@
 
 // recordLimit stores the limit that a target's response names, or that it names none any
 // more. A value that is no number leaves the limit as it is.
-func (f *Forwarder) recordLimit(e *endpoint, resp *http.Response) {
-	rate, ok := parseLimit(resp.Header.Values(f.config.Headers.Limit))
+func (f *Forwarder) recordLimit(e *endpoint, header http.Header) {
+	rate, ok := parseLimit(header.Values(f.config.Headers.Limit))
 	if !ok {
 		f.config.Metrics.Counter("forward.limit_malformed").Inc(1)
 		return
@@ -53,10 +53,10 @@
 func (t *table) setLimit(e *endpoint, rate float64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e.seenLimit.Rate != rate {
+	if e.said.limit.Rate != rate {
 		t.loadsChanged.Set()
 	}
-	e.seenLimit = NamedLimit{Rate: rate, At: now}
+	e.said.limit = NamedLimit{Rate: rate, At: now}
 	return t.refreshLimit(e)
 }
 
@@ -64,7 +64,7 @@
 // whether the endpoint begins or ceases to have one. What an instance saw of an earlier
 // incarnation does not count. The caller holds t.mu.
 func (t *table) refreshLimit(e *endpoint) bool {
-	newest := e.seenLimit
+	newest := e.said.limit
 	for _, l := range e.otherLoads {
 		if l.Limit.At.After(newest.At) && l.Limit.At.After(e.createdAt) {
 			newest = l.Limit
@@ -82,12 +82,12 @@
 // target with a low limit answers each of many instances rarely, so that they learn from
 // each other that the limit has changed or ended. The caller holds table.mu.
 func (e *endpoint) limitNews() NamedLimit {
-	if e.seenLimit.Rate > 0 {
-		return e.seenLimit
+	if e.said.limit.Rate > 0 {
+		return e.said.limit
 	}
 	for _, l := range e.otherLoads {
 		if l.Limit.Rate > 0 {
-			return e.seenLimit
+			return e.said.limit
 		}
 	}
 	return NamedLimit{}
@@ -124,8 +124,12 @@
 }
 
 // admit reports whether a request may be sent to e now, by the limit that the target names
-// and by the rate of cold targets, and counts it if so. The caller holds t.mu.
+// by the rate of cold targets and by the pace after a quiet time, and counts it if so. The
+// caller holds t.mu.
 func (t *table) admit(e *endpoint, s *manifest.Service, now time.Time) bool {
+	if !e.admitAfterQuiet(t.view.EntryCount(), now) {
+		return false
+	}
 	if e.limit == 0 {
 		return t.admitToColdTarget(e, s, now)
 	}
@@ -144,22 +148,13 @@
 	}
 }
 
-// untilAdmission returns the time until one of the targets that could serve the demand
-// accepts a further request of this instance by its limit; false if none of them names a
-// limit.
-func (t *table) untilAdmission(d *demand, now time.Time) (time.Duration, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	shortest, found := time.Duration(0), false
-	for _, e := range t.candidates(d) {
-		if e.limit == 0 {
-			continue
-		}
-		t.refillLimit(e, now)
-		rate, _ := t.limitShare(e)
-		if wait := e.limitBucket.untilToken(rate); !found || wait < shortest {
-			shortest, found = wait, true
-		}
+// untilLimitAdmits returns the time until the limit that e names admits a further request
+// of this instance. The caller holds t.mu.
+func (t *table) untilLimitAdmits(e *endpoint, now time.Time) time.Duration {
+	if e.limit == 0 {
+		return 0
 	}
-	return shortest, found
+	t.refillLimit(e, now)
+	rate, _ := t.limitShare(e)
+	return e.limitBucket.untilToken(rate)
 }
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -303,7 +303,7 @@
 	tell(a, b)
 	assert.Equal(t, e.limit, 0.0)
 	e.createdAt = at.Add(time.Minute)
-	e.seenLimit = NamedLimit{}
+	e.said.limit = NamedLimit{}
 	a.setLimit(a.endpoints["a1"], 0.2, at.Add(4*time.Second))
 	tell(a, b)
 	assert.Equal(t, e.limit, 0.0, "the limit of an earlier incarnation")
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -14,6 +14,8 @@
 	// Limit is the limit that the target's newest response to the instance named. Its time
 	// is zero if that need not be known.
 	Limit NamedLimit
+	// Leaving is the target's statement to the instance that it leaves, if any.
+	Leaving LeavingStatement
 }
 
 // totalLoad returns the load that all instances together place on the endpoint.
@@ -39,7 +41,7 @@
 	out := map[string]Load{}
 	now := time.Now()
 	for id, e := range t.endpoints {
-		l := Load{Requests: e.requests, Tokens: e.tokens, IncomingCopies: e.incomingCopies, PrefillTokens: e.prefillTokens, Suspect: now.Before(e.suspectUntil), Limit: e.limitNews()}
+		l := Load{Requests: e.requests, Tokens: e.tokens, IncomingCopies: e.incomingCopies, PrefillTokens: e.prefillTokens, Suspect: now.Before(e.suspectUntil), Limit: e.limitNews(), Leaving: e.leavingNews()}
 		if l != (Load{}) {
 			out[id] = l
 		}
@@ -50,7 +52,8 @@
 // SetLoads replaces the loads that another instance places on targets, by target
 // ID. If loads is nil, they are removed.
 func (f *Forwarder) SetLoads(instance string, loads map[string]Load) {
-	t := f.table
+	t, now := f.table, time.Now()
+	defer f.logTargets()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id := range t.loadedBy[instance] {
@@ -65,6 +68,9 @@
 		if e := t.endpoints[id]; e != nil {
 			e.otherLoads[instance] = l
 			t.refreshLimit(e)
+			if l.Leaving.isOf(e, now) {
+				t.setLeaving(e, "instance "+instance, l.Leaving.At)
+			}
 		}
 	}
 	if len(loads) == 0 {
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -112,7 +112,7 @@
 // better.
 func placementCost(e *endpoint, d *demand, now time.Time) float64 {
 	total := e.totalLoad()
-	c := utilization(e, d.q)*slowdown(e, d, now) + d.costs.perIncomingCopy*float64(total.IncomingCopies)
+	c := utilization(e, d.q, &total)*slowdown(e, d, now) + d.costs.perIncomingCopy*float64(total.IncomingCopies)
 	switch {
 	case e.region != d.origin.Region:
 		c += d.costs.region
@@ -142,14 +142,14 @@
 }
 
 // utilization returns the fraction of endpoint e's capacity in use once request q
-// is placed there.
-func utilization(e *endpoint, q *request) float64 {
-	engine, total := q.service.Engine, e.totalLoad()
+// is placed there beside the total load.
+func utilization(e *endpoint, q *request, total *Load) float64 {
+	engine := q.service.Engine
 	if engine == nil {
 		return float64(total.Requests+1) / float64(max(1, e.target.Slots))
 	}
 	slots := float64(total.Requests+1) / float64(max(1, engine.Slots))
-	memory := memoryShare(e, q)
+	memory := memoryShare(total, q)
 	c := max(slots, memory) + float64(total.PrefillTokens)/fullLoadPrefillTokens
 	if memory > highMemoryShare {
 		c += highMemoryCost * (memory - highMemoryShare)
@@ -158,7 +158,7 @@
 }
 
 // memoryShare returns the fraction of an engine's memory in use once request q is
-// placed there.
-func memoryShare(e *endpoint, q *request) float64 {
-	return float64(e.totalLoad().Tokens+q.tokens.expectedAtEnd()) / float64(max(1, q.service.Engine.MemoryTokens))
+// placed there beside the total load.
+func memoryShare(total *Load, q *request) float64 {
+	return float64(total.Tokens+q.tokens.expectedAtEnd()) / float64(max(1, q.service.Engine.MemoryTokens))
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/endivetrack/endivetrack/internal/quarantine"
@@ -32,10 +33,10 @@
 		f.durations.begin(q, now)
 		return l
 	}
-	if wait, limited := f.table.untilAdmission(d, now); limited {
+	if wait, known := f.table.untilAccepted(d, now); known {
 		f.config.Metrics.Counter("forward.limit_refused").Inc(1)
-		a.lastErr = resultcode.Newf(resultcode.Overloaded, "the targets of %q accept no more requests now, by the limits that they name", q.service.Name).
-			WithRetryAfter(max(minLimitPause, wait))
+		a.lastErr = resultcode.Newf(resultcode.Overloaded, "the targets of %q accept no more requests now, by what they say in their answers", q.service.Name).
+			WithRetryAfter(spreadPause(wait, rand.Float64))
 	}
 	return nil
 }
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -49,11 +49,12 @@
 	target         *fleet.Target
 	usable         bool
 	draining       bool
-	requests       int // requests in flight from this instance
-	tokens         int // engine memory that the requests in flight are expected to need, in tokens
-	incomingCopies int // copies of runs being transferred to this target
-	prefillTokens  int // prompt tokens of requests that have no first event yet
-	conns          int // open connections from this instance, idle ones included
+	said           statements // what this incarnation has said of itself
+	requests       int        // requests in flight from this instance
+	tokens         int        // engine memory that the requests in flight are expected to need, in tokens
+	incomingCopies int        // copies of runs being transferred to this target
+	prefillTokens  int        // prompt tokens of requests that have no first event yet
+	conns          int        // open connections from this instance, idle ones included
 	idle           []*targetConn
 	failures       int
 	suspectUntil   time.Time // time until which the target is avoided because of failures
@@ -62,9 +63,7 @@
 	// instances together, as its newest response to any of them states; 0 if it states none.
 	limit       float64
 	limitBucket tokenBucket
-	// seenLimit is what the newest response to this instance states.
-	seenLimit NamedLimit
-	createdAt time.Time
+	createdAt   time.Time
 	// otherLoads holds the load that each other instance places on the target, by instance name.
 	otherLoads map[string]Load
 	// moveSlot is a semaphore of one: a run holds it while it is moved off the target.
@@ -98,6 +97,9 @@
 	t.view = v
 	for id, target := range v.Targets {
 		e := t.endpoints[id]
+		if e != nil && e.said.leavingExpired(target, now) {
+			e = nil // what runs there goes on with the endpoint as it was
+		}
 		if e != nil && e.target == target && sameDomains {
 			continue
 		}
@@ -106,13 +108,8 @@
 			e = nil
 		}
 		if e == nil {
-			e = &endpoint{
-				id: id, incarnation: target.Incarnation, address: target.Address, failureDomain: target.FailureDomain,
-				region: t.regions[target.FailureDomain], service: target.Service, version: target.Version, drainStarted: make(chan struct{}),
-				otherLoads: map[string]Load{}, moveSlot: make(chan struct{}, 1), createdAt: now,
-			}
+			e = t.newEndpoint(target, now)
 			t.endpoints[id] = e
-			t.changedEndpoints = append(t.changedEndpoints, e)
 		}
 		t.updateEndpoint(e, target, now)
 	}
@@ -124,8 +121,19 @@
 	}
 }
 
+// newEndpoint returns an endpoint of which nothing but the announcement is known.
+func (t *table) newEndpoint(target *fleet.Target, now time.Time) *endpoint {
+	e := &endpoint{
+		id: target.ID, incarnation: target.Incarnation, address: target.Address, failureDomain: target.FailureDomain,
+		region: t.regions[target.FailureDomain], service: target.Service, version: target.Version, drainStarted: make(chan struct{}),
+		otherLoads: map[string]Load{}, moveSlot: make(chan struct{}, 1), createdAt: now,
+	}
+	t.changedEndpoints = append(t.changedEndpoints, e)
+	return e
+}
+
 func (t *table) updateEndpoint(e *endpoint, target *fleet.Target, now time.Time) {
-	usable := t.view.Usable(target)
+	usable := t.view.Usable(target) && !e.draining
 	if e.target != nil && (usable != e.usable || e.target.State != target.State) {
 		t.changedEndpoints = append(t.changedEndpoints, e)
 	}
@@ -167,7 +175,7 @@
 func (t *table) acquireLease(d *demand, now time.Time) *lease {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	candidates := t.candidates(d)
+	candidates := t.candidates(d, now)
 	for len(candidates) > 0 {
 		considered := candidates
 		if !d.isMove {
@@ -202,28 +210,37 @@
 	return t.reserveCapacityLocked(e, q)
 }
 
-// candidates returns the endpoints that may serve a request.
-func (t *table) candidates(d *demand) []*endpoint {
+// candidates returns the endpoints that may serve a request now.
+func (t *table) candidates(d *demand, now time.Time) []*endpoint {
 	connLimit := t.maxConns(d.q.service)
 	var out []*endpoint
 	for _, e := range t.endpoints {
-		if e.service != d.q.service.Name || !e.usable || slices.Contains(d.exclude, e) {
-			continue
-		}
-		if d.version != nil && e.version != *d.version {
-			continue
-		}
-		if !regionAllowed(d.q, e.region) || (e.conns >= connLimit && len(e.idle) == 0) {
-			continue
-		}
-		if d.isMove && (e.region != d.origin.Region || memoryShare(e, d.q) > maxMemoryShareAfterMove) {
-			continue
+		if e.availability(now) == available && e.canServe(d, connLimit) {
+			out = append(out, e)
 		}
-		out = append(out, e)
 	}
 	return out
 }
 
+// canServe reports whether an endpoint can serve a request, unless it wants nothing just
+// now. The caller holds table.mu.
+func (e *endpoint) canServe(d *demand, connLimit int) bool {
+	if e.service != d.q.service.Name || !e.usable || slices.Contains(d.exclude, e) {
+		return false
+	}
+	if d.version != nil && e.version != *d.version {
+		return false
+	}
+	if !regionAllowed(d.q, e.region) || (e.conns >= connLimit && len(e.idle) == 0) {
+		return false
+	}
+	if !d.isMove {
+		return true
+	}
+	total := e.totalLoad()
+	return e.region == d.origin.Region && memoryShare(&total, d.q) <= maxMemoryShareAfterMove
+}
+
 // regionAllowed reports whether the route and the client account of q permit
 // the region.
 func regionAllowed(q *request, region string) bool {
@@ -308,13 +325,6 @@
 	e.failures, e.suspectUntil = 0, time.Time{}
 }
 
-// isUsable reports whether an endpoint may receive new requests now.
-func (t *table) isUsable(e *endpoint) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return e.usable
-}
-
 // usableEndpoints returns the endpoints of a service that may get new work.
 func (t *table) usableEndpoints(service string) []*endpoint {
 	t.mu.Lock()
@@ -335,7 +345,7 @@
 	defer t.mu.Unlock()
 	var out []endpointStatus
 	for _, e := range t.changedEndpoints {
-		out = append(out, endpointStatus{id: e.id, service: e.service, version: e.version, failureDomain: e.failureDomain, usable: e.usable, state: e.target.State, sequence: e.target.Sequence})
+		out = append(out, endpointStatus{id: e.id, service: e.service, version: e.version, failureDomain: e.failureDomain, usable: e.usable, state: e.target.State, sequence: e.target.Sequence, leavingSource: e.said.leavingSource})
 	}
 	t.changedEndpoints = nil
 	return out
@@ -347,11 +357,16 @@
 	usable                              bool
 	state                               fleet.TargetState
 	sequence                            uint64
+	leavingSource                       string // who brought the target's statement that it leaves
 }
 
 func (f *Forwarder) logTargets() {
 	for _, n := range f.table.takeChangedEndpoints() {
-		f.config.Logger.Info().Str("target", n.id).Str("service", n.service).Str("version", n.version).Str("failure_domain", n.failureDomain).
-			Bool("usable", n.usable).Int("state", int(n.state)).Uint64("sequence", n.sequence).Msg("target")
+		line := f.config.Logger.Info().Str("target", n.id).Str("service", n.service).Str("version", n.version).Str("failure_domain", n.failureDomain).
+			Bool("usable", n.usable).Int("state", int(n.state)).Uint64("sequence", n.sequence)
+		if n.leavingSource != "" {
+			line = line.Str("says_it_leaves", n.leavingSource)
+		}
+		line.Msg("target")
 	}
 }
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -102,7 +102,7 @@
 		err = s.start(ctx, c.ReadyAddress, c.ReadyHandler(ready), nil)
 	}
 	if err == nil && c.MetricsAddress != "" {
-		err = s.start(ctx, c.MetricsAddress, quarantined.Handler(env.MetricsHandler(logOutput)), nil)
+		err = s.start(ctx, c.MetricsAddress, forwarder.StatementsHandler(quarantined.Handler(env.MetricsHandler(logOutput))), nil)
 	}
 	if err != nil {
 		return err
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -303,6 +303,9 @@
 	if !l.Limit.At.IsZero() {
 		m.Limit, m.LimitAgeMs = l.Limit.Rate, proto.Uint32(age.Of(l.Limit.At, now))
 	}
+	if !l.Leaving.At.IsZero() {
+		m.LeavingBorn, m.LeavingAgeMs = l.Leaving.Incarnation, proto.Uint32(age.Of(l.Leaving.At, now))
+	}
 	return m
 }
 
@@ -317,5 +320,8 @@
 	if rate := m.GetLimit(); m.LimitAgeMs != nil && rate >= 0 && !math.IsInf(rate, 0) {
 		l.Limit = forward.NamedLimit{Rate: rate, At: age.Time(now, m.GetLimitAgeMs())}
 	}
+	if m.LeavingAgeMs != nil {
+		l.Leaving = forward.LeavingStatement{Incarnation: m.GetLeavingBorn(), At: age.Time(now, m.GetLeavingAgeMs())}
+	}
 	return l
 }
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -78,6 +78,7 @@
 	UnknownTeam        Code = 4006
 	NotInForce         Code = 4007
 	UnknownQuarantine  Code = 4008
+	UnknownStatement   Code = 4009
 )
 
 // Announcement codes (5xxx): a target's announcement was refused.
@@ -152,6 +153,7 @@
 	UnknownTeam:           {"UNKNOWN_TEAM", http.StatusNotFound},
 	NotInForce:            {"NOT_IN_FORCE", http.StatusGatewayTimeout},
 	UnknownQuarantine:     {"UNKNOWN_QUARANTINE", http.StatusNotFound},
+	UnknownStatement:      {"UNKNOWN_STATEMENT", http.StatusNotFound},
 	AnnouncementMalformed: {"ANNOUNCEMENT_MALFORMED", http.StatusBadRequest},
 	AnnouncementForbidden: {"ANNOUNCEMENT_FORBIDDEN", http.StatusForbidden},
 	AnnouncementAddress:   {"ANNOUNCEMENT_ADDRESS", http.StatusBadRequest},
