--- a/standin/soak/target.go
+++ b/standin/soak/target.go
@@ -102,6 +102,7 @@
 	// misbehavior is nil if the target keeps to the protocol.
 	misbehavior misbehavior
 	copies      *runCopies
+	statements  statements
 
 	server *http.Server
 	stop   context.CancelFunc
@@ -216,6 +217,10 @@
 	id := r.Header.Get(platformtest.RequestIDHeader)
 	w.Header().Set(platformtest.RequestIDHeader, id)
 	w.Header().Set(platformtest.StampHeader, t.self.ID)
+	if r.URL.Path == platformtest.ReportPath {
+		t.writeReport(w)
+		return
+	}
 	if r.Header.Get(platformtest.ExpectTargetHeader) != t.self.ID {
 		t.refuseAsNotRun(w, id, http.StatusMisdirectedRequest)
 		return
@@ -224,6 +229,10 @@
 	if err != nil {
 		return // an incomplete request is not executed
 	}
+	if t.statements.write(w, time.Now()) {
+		t.refuseAsNotRun(w, id, http.StatusServiceUnavailable)
+		return
+	}
 	if t.crashesOn != nil && t.crashesOn(t, body) {
 		panic(http.ErrAbortHandler)
 	}
