forward: buffer space for a body is given back on every way out

Cause: readBody reserved the space and returned its release; when the caller had left it panicked in between. The space is now a value whose release the handler defers before anything is read.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -19,62 +19,58 @@
 var errBufferFull = errors.New("the buffer for request bodies is full")
 
 // readBody reads the whole body into q, so that it can be sent to a target in
-// one write and, where allowed, sent again. The caller must call release when the
-// request ends, also after an error.
-func (f *Forwarder) readBody(w http.ResponseWriter, q *request, r *http.Request, limit int64) (release func(), err error) {
-	release = func() {}
+// one write and, where allowed, sent again. It takes the room from space.
+func (f *Forwarder) readBody(w http.ResponseWriter, q *request, r *http.Request, limit int64, space *bufferSpace) error {
 	if r.ContentLength > limit {
-		return release, resultcode.Newf(resultcode.BodyTooLarge, "a body of %d bytes exceeds %d", r.ContentLength, limit)
+		return resultcode.Newf(resultcode.BodyTooLarge, "a body of %d bytes exceeds %d", r.ContentLength, limit)
 	}
 	if r.ContentLength == 0 {
-		return release, nil
+		return nil
 	}
-	reserved := max(0, r.ContentLength)
-	if !f.reserveBuffer(reserved) {
-		return release, resultcode.Newf(resultcode.Overloaded, "%v", errBufferFull)
+	if !space.reserve(max(0, r.ContentLength)) {
+		return resultcode.Newf(resultcode.Overloaded, "%v", errBufferFull)
 	}
-	release = func() { f.releaseBuffer(reserved) }
 	// A slow body must not hold the connection beyond the caller's deadline.
 	controller := http.NewResponseController(w)
 	if err := controller.SetReadDeadline(q.deadline); err != nil {
-		return release, resultcode.Newf(resultcode.Internal, "read body: %v", err)
+		return resultcode.Newf(resultcode.Internal, "read body: %v", err)
 	}
 	var body []byte
+	var err error
 	if r.ContentLength > 0 {
 		body, err = io.ReadAll(r.Body)
 	} else {
-		body, err = f.readUnknownLength(r.Body, limit, &reserved)
+		body, err = readUnknownLength(r.Body, limit, space)
 	}
 	if err == nil {
 		err = controller.SetReadDeadline(time.Time{})
 	}
 	switch {
 	case errors.Is(err, errBufferFull):
-		return release, resultcode.Newf(resultcode.Overloaded, "%v", err)
+		return resultcode.Newf(resultcode.Overloaded, "%v", err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return release, resultcode.Newf(resultcode.DeadlineExceeded, "the body did not arrive in time")
+		return resultcode.Newf(resultcode.DeadlineExceeded, "the body did not arrive in time")
 	case err != nil:
 		if errors.Is(err, io.ErrUnexpectedEOF) || r.Context().Err() != nil {
 			panic(http.ErrAbortHandler) // the caller closed the connection before the body was complete
 		}
-		return release, resultcode.Newf(resultcode.BadRequest, "read body: %v", err)
+		return resultcode.Newf(resultcode.BadRequest, "read body: %v", err)
 	case int64(len(body)) > limit:
-		return release, resultcode.Newf(resultcode.BodyTooLarge, "the body exceeds %d bytes", limit)
+		return resultcode.Newf(resultcode.BodyTooLarge, "the body exceeds %d bytes", limit)
 	}
 	q.body = body
-	return release, nil
+	return nil
 }
 
 // readUnknownLength reads a body of which at most limit+1 bytes are needed, and reserves
-// buffer space as it grows. It adds the space to reserved.
-func (f *Forwarder) readUnknownLength(r io.Reader, limit int64, reserved *int64) ([]byte, error) {
+// space as it grows.
+func readUnknownLength(r io.Reader, limit int64, space *bufferSpace) ([]byte, error) {
 	var body bytes.Buffer
 	for left := limit + 1; left > 0; {
 		step := min(left, bufferStep)
-		if !f.reserveBuffer(step) {
+		if !space.reserve(step) {
 			return nil, errBufferFull
 		}
-		*reserved += step
 		n, err := io.CopyN(&body, r, step)
 		left -= n
 		if errors.Is(err, io.EOF) {
@@ -101,18 +97,30 @@
 	return n
 }
 
-func (f *Forwarder) reserveBuffer(n int64) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.bufferedBytes > 0 && f.bufferedBytes+n > f.config.BufferBytes {
+// bufferSpace is the part of the buffer for bodies that one request has reserved. Whoever
+// creates it must defer release at once: reading a body may panic.
+type bufferSpace struct {
+	f        *Forwarder
+	reserved int64 // bytes
+}
+
+// reserve reports whether there was room for n more bytes. The only body in the buffer may
+// have any size that the limits on bodies allow.
+func (s *bufferSpace) reserve(n int64) bool {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	if s.f.bufferedBytes > 0 && s.f.bufferedBytes+n > s.f.config.BufferBytes {
 		return false
 	}
-	f.bufferedBytes += n
+	s.f.bufferedBytes += n
+	s.reserved += n
 	return true
 }
 
-func (f *Forwarder) releaseBuffer(n int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.bufferedBytes -= n
+// release gives back all that was reserved.
+func (s *bufferSpace) release() {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	s.f.bufferedBytes -= s.reserved
+	s.reserved = 0
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -178,8 +178,9 @@
 		// being read.
 		w.Header().Set("Connection", "close")
 	}
-	q, release, err := f.acceptRequest(w, r, arrived)
-	defer release()
+	space := &bufferSpace{f: f}
+	defer space.release()
+	q, err := f.acceptRequest(w, r, arrived, space)
 	if err != nil {
 		f.writeError(w, r, q, err)
 		return
--- a/internal/forward/plain_test.go
+++ b/internal/forward/plain_test.go
@@ -300,19 +300,21 @@
 // against space that stays reserved after a request.
 func TestBodiesOfUnknownLengthReserveTheirSpace(t *testing.T) {
 	f := New(Config{BufferBytes: 3 * bufferStep})
-	var reserved int64
-	body, err := f.readUnknownLength(strings.NewReader(strings.Repeat("x", bufferStep+1)), 2*bufferStep, &reserved)
+	space := &bufferSpace{f: f}
+	body, err := readUnknownLength(strings.NewReader(strings.Repeat("x", bufferStep+1)), 2*bufferStep, space)
 	assert.NilError(t, err)
 	assert.Equal(t, len(body), bufferStep+1)
-	assert.Equal(t, reserved, int64(2*bufferStep))
-	assert.Equal(t, f.bufferedBytes, reserved)
-	var more int64
-	_, err = f.readUnknownLength(strings.NewReader(strings.Repeat("x", 4*bufferStep)), 8*bufferStep, &more)
+	assert.Equal(t, space.reserved, int64(2*bufferStep))
+	assert.Equal(t, f.bufferedBytes, space.reserved)
+	more := &bufferSpace{f: f}
+	_, err = readUnknownLength(strings.NewReader(strings.Repeat("x", 4*bufferStep)), 8*bufferStep, more)
 	assert.ErrorIs(t, err, errBufferFull)
-	assert.Equal(t, f.bufferedBytes, reserved+more)
+	assert.Equal(t, f.bufferedBytes, space.reserved+more.reserved)
 	assert.Assert(t, f.bufferedBytes <= f.config.BufferBytes)
-	f.releaseBuffer(reserved + more)
-	body, err = f.readUnknownLength(strings.NewReader("abc"), 1, &more)
+	space.release()
+	more.release()
+	assert.Equal(t, f.bufferedBytes, int64(0))
+	body, err = readUnknownLength(strings.NewReader("abc"), 1, more)
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "ab", "one byte beyond the limit shows that the body exceeds it")
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -62,32 +62,30 @@
 // timeLeft returns the time until the deadline.
 func (q *request) timeLeft() time.Duration { return time.Until(q.deadline) }
 
-// acceptRequest checks a request and reads its body. The returned function
-// releases the buffer space; it is never nil.
-func (f *Forwarder) acceptRequest(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, func(), error) {
-	none := func() {}
+// acceptRequest checks a request and reads its body into buffer space that it reserves.
+func (f *Forwarder) acceptRequest(w http.ResponseWriter, r *http.Request, arrived time.Time, space *bufferSpace) (*request, error) {
 	q := &request{id: r.Header.Get(f.config.Headers.RequestID), method: r.Method, uri: r.RequestURI, header: r.Header, arrived: arrived}
 	view := f.awaitView(r.Context(), func(v *fleet.View) bool { return v.Manifest != nil })
 	if view.Manifest == nil {
-		return q, none, resultcode.Newf(resultcode.ControlUnavailable, "no manifest yet")
+		return q, resultcode.Newf(resultcode.ControlUnavailable, "no manifest yet")
 	}
 	if most := view.Manifest.Limits().HeaderBytes; most > 0 && headerBytes(r) > most {
-		return q, none, resultcode.Newf(resultcode.HeaderTooLarge, "the request header exceeds %d bytes", most)
+		return q, resultcode.Newf(resultcode.HeaderTooLarge, "the request header exceeds %d bytes", most)
 	}
 	if err := f.resolveRoute(q, r, view.Manifest); err != nil {
-		return q, none, err
+		return q, err
 	}
 	if q.route.Kind == manifest.Streaming && !f.acceptsStreams() {
-		return q, none, resultcode.Newf(resultcode.Draining, "the instance is stopping and accepts no new streams")
+		return q, resultcode.Newf(resultcode.Draining, "the instance is stopping and accepts no new streams")
 	}
 	limit := view.Manifest.Limits().BodyBytes
 	if limit <= 0 {
 		limit = maxBufferedBody
 	}
-	release, err := f.readBody(w, q, r, limit)
+	err := f.readBody(w, q, r, limit, space)
 	q.identity = identityOf(q)
 	q.features = append([]string{q.identity}, q.parts...)
-	return q, release, err
+	return q, err
 }
 
 // awaitView waits until the function ready accepts the newest view, but at most
