agreement: a node sends to any number of addresses over its life

Cause: an outbox for each address that was ever sent to, never removed; at 78 all messages to new addresses were dropped. The outboxes are a least-recently-used set now.

--- a/internal/agreement/node.go
+++ b/internal/agreement/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/process"
@@ -37,7 +38,7 @@
 	// The run loop owns the following fields; only inboxBytes is shared.
 	replica      replica
 	schedule     schedule
-	outboxes     map[outboxKey]*outbox
+	outboxes     *lru.LRU[outboxKey, *outbox]
 	waiters      map[uint64]proposal
 	pendingReads map[uint64]chan readResult
 	lastReadID   uint64
@@ -109,7 +110,7 @@
 		loopCalls:    make(chan func(), proposalQueueLength),
 		tasks:        make(chan task, 1),
 		results:      make(chan taskResult, 1),
-		outboxes:     map[outboxKey]*outbox{},
+		outboxes:     newOutboxes(),
 		waiters:      map[uint64]proposal{},
 		pendingReads: map[uint64]chan readResult{},
 		changed:      make(chan struct{}),
--- a/internal/agreement/transport.go
+++ b/internal/agreement/transport.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
@@ -97,6 +99,7 @@
 type outbox struct {
 	address string
 	queue   chan Message
+	done    chan struct{} // closed when the outbox gives way to another one
 }
 
 // outboxKey identifies an outbox.
@@ -105,22 +108,34 @@
 	bulk    bool
 }
 
+// maxOutboxes bounds the outboxes: members and nodes that join have two each. All members
+// are sent something with each heartbeat, so that the ones used least recently are those of
+// addresses that no member has any more.
+const maxOutboxes = 2 * (maxVoters + maxLearners)
+
+// newOutboxes returns an empty set of outboxes. One that gives way to another one ends; its
+// messages are lost, and the protocol resends them.
+func newOutboxes() *lru.LRU[outboxKey, *outbox] {
+	boxes, err := lru.NewLRU(maxOutboxes, func(_ outboxKey, box *outbox) { close(box.done) })
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	return boxes
+}
+
 // enqueue adds a message to the outbox for its address and creates that outbox if
-// there is none. The message is dropped if the outbox's queue is full or there
-// are too many outboxes to create another.
+// there is none. The message is dropped if the outbox's queue is full.
 func (n *Node) enqueue(m Message) {
 	if m.ToAddress == "" {
 		return
 	}
 	key := outboxKey{address: m.ToAddress, bulk: m.bulk()}
-	box, ok := n.outboxes[key]
+	box, ok := n.outboxes.Get(key)
 	if !ok {
-		if len(n.outboxes) >= 2*(maxVoters+maxLearners) {
-			n.count("agreement.send_no_outbox")
-			return
+		box = &outbox{address: m.ToAddress, queue: make(chan Message, outboxMessages), done: make(chan struct{})}
+		if n.outboxes.Add(key, box) {
+			n.count("agreement.outbox_ended")
 		}
-		box = &outbox{address: m.ToAddress, queue: make(chan Message, outboxMessages)}
-		n.outboxes[key] = box
 		n.workers.Add(1)
 		go n.runOutbox(box)
 	}
@@ -137,6 +152,8 @@
 		select {
 		case <-n.ctx.Done():
 			return
+		case <-box.done:
+			return
 		case m := <-box.queue:
 			n.deliver(box, m)
 		}
