--- a/internal/agreement/config.go
+++ b/internal/agreement/config.go
@@ -14,8 +14,9 @@
 	DefaultElectionTimeout   = 300 * time.Millisecond
 	DefaultHeartbeatInterval = 75 * time.Millisecond
 	DefaultSnapshotEntries   = 4096
-	DefaultSnapshotBytes     = 16 << 20
+	DefaultSnapshotBytes     = 8 << 20
 	DefaultKeepEntries       = 1024
+	DefaultKeepBytes         = 4 << 20
 	// DefaultReplaceAfter exceeds the duration of a process restart, so that a
 	// restarting voter is not replaced.
 	DefaultReplaceAfter = 5 * time.Second
@@ -66,12 +67,14 @@
 	// HeartbeatInterval.
 	Tick time.Duration
 	// A snapshot is taken after SnapshotEntries entries or SnapshotBytes bytes
-	// were applied since the last one. Default 4096 entries, 16 MiB.
+	// were applied since the last one. Default 4096 entries, 8 MiB.
 	SnapshotEntries uint64
 	SnapshotBytes   int
 	// KeepEntries is the number of entries covered by a snapshot that stay in
-	// the log for followers that lag. Default 1024.
+	// the log for followers that lag, as far as their data does not exceed KeepBytes.
+	// Default 1024 entries, 4 MiB.
 	KeepEntries uint64
+	KeepBytes   int
 	// MaxSnapshotBytes is the maximum size of a snapshot received from the
 	// leader. Default wal.MaxRecordBytes.
 	MaxSnapshotBytes uint64
@@ -98,6 +101,7 @@
 	setDefault(&c.SnapshotEntries, DefaultSnapshotEntries)
 	setDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
+	setDefault(&c.KeepBytes, DefaultKeepBytes)
 	setDefault(&c.MaxSnapshotBytes, wal.MaxRecordBytes)
 	setDefault(&c.ReplaceAfter, DefaultReplaceAfter)
 	switch {
--- a/internal/agreement/core.go
+++ b/internal/agreement/core.go
@@ -281,15 +281,13 @@
 }
 
 // compact makes s the newest snapshot and removes the entries that it covers
-// from memory, except the last keepEntries of them, which stay for followers
-// that lag. It returns the new base index.
-func (c *core) compact(s wal.Snapshot, keepEntries uint64) uint64 {
+// from memory, except the last keepEntries of them that fit into keepBytes, which stay for
+// followers that lag. It returns the new base index.
+func (c *core) compact(s wal.Snapshot, keepEntries uint64, keepBytes int) uint64 {
 	if s.Index > c.snapshot.Index {
 		c.snapshot = s
 	}
-	if s.Index > keepEntries {
-		c.log.compact(s.Index - keepEntries)
-	}
+	c.log.compact(c.log.beforeLast(s.Index, keepEntries, keepBytes))
 	for len(c.memberships) > 1 && c.memberships[1].Index <= c.snapshot.Index {
 		c.memberships = c.memberships[1:]
 	}
--- a/internal/agreement/directed_test.go
+++ b/internal/agreement/directed_test.go
@@ -252,7 +252,7 @@
 	acknowledge(t, leader, "c", last)
 	assert.Equal(t, leader.commit, last)
 	assert.Equal(t, leader.peers["b"].inFlight, 100)
-	leader.compact(wal.Snapshot{Index: last, Term: 2}, 0)
+	leader.compact(wal.Snapshot{Index: last, Term: 2}, 0, 0)
 	acknowledge(t, leader, "b", last)
 	assert.Equal(t, leader.peers["b"].inFlight, 0)
 }
--- a/internal/agreement/memlog.go
+++ b/internal/agreement/memlog.go
@@ -71,6 +71,20 @@
 	l.baseIndex, l.baseTerm = index, term
 }
 
+// beforeLast returns the index before the last entries up to and including index that are
+// at most as many as count and together at most as large as size, in bytes of data.
+func (l *memLog) beforeLast(index, count uint64, size int) uint64 {
+	index = min(index, l.lastIndex())
+	for ; index > l.baseIndex && count > 0; count-- {
+		size -= len(l.entries[index-l.baseIndex-1].Data)
+		if size < 0 {
+			break
+		}
+		index--
+	}
+	return index
+}
+
 // reset empties the log and makes index its base entry.
 func (l *memLog) reset(index, term uint64) {
 	*l = memLog{baseIndex: index, baseTerm: term, stableIndex: index}
--- a/internal/agreement/node.go
+++ b/internal/agreement/node.go
@@ -309,7 +309,7 @@
 	}
 	if r.snapshot != nil {
 		n.event("agreement.snapshot")
-		return n.replica.store.Compact(n.replica.core.compact(*r.snapshot, n.config.KeepEntries))
+		return n.replica.store.Compact(n.replica.core.compact(*r.snapshot, n.config.KeepEntries, n.config.KeepBytes))
 	}
 	return nil
 }
--- a/internal/agreement/sim_test.go
+++ b/internal/agreement/sim_test.go
@@ -443,7 +443,7 @@
 	}
 	w.chainAt[r.applied] = n.machine.Chain
 	if r.snapshot != nil {
-		return n.protocol.store.Compact(n.protocol.core.compact(*r.snapshot, 8))
+		return n.protocol.store.Compact(n.protocol.core.compact(*r.snapshot, 8, DefaultKeepBytes))
 	}
 	return nil
 }
