forward: a companion connection tells whether an unframed response is complete

Cause: the end was judged by whether somebody listens at the address afterwards. A second connection, opened and replaced while the response's is known to be open, belongs to the same process; if it is still open after the end, the process lives.

Evidence: TestUnframedResponseOfAReplacedProcessIsNotWhole failed with the former check and passes; so did the case 'stops listening' of TestLongUnframedStreamIsWhole, a sound stream that was cut.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -67,7 +67,10 @@
 // body.
 type targetResponse struct {
 	*http.Response
-	conn *targetConn
+	conn   *targetConn
+	sentAt time.Time // when the request was sent
+	// companion is nil if the response is framed or had ended when its head was read.
+	companion *companion
 	// detachContext detaches conn from the request's context; false if that context has ended.
 	detachContext func() bool
 }
@@ -110,6 +113,7 @@
 		l.dropConn(conn)
 		return nil, &notSentError{err}
 	}
+	sentAt := time.Now()
 	if _, err := conn.Write(data); err != nil {
 		stop()
 		l.dropConn(conn)
@@ -122,7 +126,7 @@
 		return nil, fmt.Errorf("read answer: %w", err)
 	}
 	f.recordStatements(l.endpoint, "request "+q.id, resp.StatusCode, resp.Header)
-	return &targetResponse{Response: resp, conn: conn, detachContext: stop}, nil
+	return &targetResponse{Response: resp, conn: conn, sentAt: sentAt, detachContext: stop}, nil
 }
 
 // connect returns a connection on which the request may be sent.
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"syscall"
 	"time"
@@ -74,23 +73,6 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// errProcessEnded means that a target's process ended with its response, which had neither
-// a length nor chunks.
-var errProcessEnded = fmt.Errorf("the target's process ended with the response: %w", io.ErrUnexpectedEOF)
-
-// checkEnd returns an error if the end of a connection, which ended the response, can be
-// that of the target's process: the kernel closes its connections in the same way.
-func (f *Forwarder) checkEnd(ctx context.Context, a *targetResponse, e *endpoint) error {
-	if netconn.IsFramed(a.Response) {
-		return nil
-	}
-	f.config.Metrics.Counter("forward.unframed").Inc(1)
-	if processEnded(ctx, e) {
-		return errProcessEnded
-	}
-	return nil
-}
-
 func crashID(e *endpoint) quarantine.CrashID {
 	return quarantine.CrashID{Target: e.id, Incarnation: e.incarnation}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -113,6 +113,10 @@
 
 	durations *durations
 	stop      plannedStop
+	// standstill knows when this process last did not run.
+	standstill standstill
+	// companionAge is defaultCompanionAge but in tests.
+	companionAge time.Duration
 
 	mu            sync.Mutex
 	bufferedBytes int64
@@ -126,7 +130,7 @@
 	if c.StreamVersions == nil {
 		c.StreamVersions = streamversion.NewStore(maxLocalStreams, time.Now)
 	}
-	f := &Forwarder{config: c, table: newTable(c.Self, c.Regions), budget: newBudget(c.Budget), latencies: newObserver(c.Metrics), durations: newDurations()}
+	f := &Forwarder{config: c, table: newTable(c.Self, c.Regions), budget: newBudget(c.Budget), latencies: newObserver(c.Metrics), durations: newDurations(), companionAge: defaultCompanionAge}
 	c.Quarantine.OnBegin(f.pending.withdraw)
 	if c.Engines != nil {
 		c.Engines.OnAnswer(f.recordEngineAnswer)
@@ -138,6 +142,7 @@
 // replicated state) until ctx ends.
 func (f *Forwarder) Run(ctx context.Context) {
 	go f.latencies.Run(ctx)
+	go f.standstill.run(ctx)
 	for {
 		view, changed := f.config.Views.View()
 		f.table.syncEndpoints(view, time.Now())
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -153,6 +153,7 @@
 // connection for another request if it can.
 func (f *Forwarder) readResponse(ctx context.Context, resp *targetResponse, l *lease) *outcome {
 	o := &outcome{lease: l, status: resp.StatusCode, header: resp.Header, refused: resp.statesNotRun(&f.config.Headers)}
+	resp.companion = f.openCompanion(resp, l.endpoint)
 	var err error
 	o.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	switch {
@@ -170,10 +171,11 @@
 		o.largeResponse = resp
 		return o
 	}
-	if o.err = f.checkEnd(ctx, resp, l.endpoint); o.err != nil {
+	if o.err = f.checkEnd(ctx, resp, l.endpoint, resp.companion); o.err != nil {
 		resp.closeConn(l)
 		return o
 	}
+	resp.companion.close()
 	if !resp.detachContext() {
 		l.dropConn(resp.conn) // the request's context ended and set a deadline on the connection, so it cannot be reused
 	} else {
@@ -184,6 +186,7 @@
 
 // closeConn closes the response's connection, so that it is not reused.
 func (a *targetResponse) closeConn(l *lease) {
+	a.companion.close()
 	a.detachContext()
 	l.dropConn(a.conn)
 }
@@ -276,7 +279,7 @@
 		_, err = io.Copy(w, o.largeResponse.Body)
 	}
 	if err == nil {
-		err = f.checkEnd(context.Background(), o.largeResponse, o.lease.endpoint)
+		err = f.checkEnd(context.Background(), o.largeResponse, o.lease.endpoint, o.largeResponse.companion)
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -162,10 +162,11 @@
 		return &outcome{lease: l, err: errUnrelatedResponse}, nil
 	}
 	r.caller.startLeg(resp.Header)
+	resp.companion = r.f.openCompanion(resp, l.endpoint)
 	m := r.f.startMover(ctx, r, l, resp)
 	err = withdrawnError(attempt, r.relayEvents(l, resp.Body, settled))
 	if err == nil {
-		err = r.f.checkEnd(ctx, resp, l.endpoint)
+		err = r.f.checkEnd(ctx, resp, l.endpoint, resp.companion)
 	}
 	next, err := r.endLeg(ctx, m, netconn.IsFramed(resp.Response), err)
 	r.legErr = err
