instance, fleet: settings are read again without a signal; control instances stay known

Suspected by the review: an entry instance that was out of touch for over 10 s while all seeds were replaced never finds the control group again. It forgot control machines 10 s after the last response that listed them, and read its settings on SIGHUP only; SIGHUP before it watched ended it.

Control instances that were listed shortly before the newest response stay known while nobody answers. The settings are read every 5 s as well. SIGHUP is received from the first moment on.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -31,7 +31,7 @@
 	// maxPollRetryDelay bounds the delay after repeated failures.
 	maxPollRetryDelay = 250 * time.Millisecond
 	// unlistedPollTime is how long a control instance is still polled after the
-	// last response that listed it.
+	// last response that listed it, while there are responses.
 	unlistedPollTime = 10 * time.Second
 	// maxReportedLoad bounds the load that is reported to control instances.
 	maxReportedLoad = 1000.0
@@ -153,13 +153,13 @@
 	}
 }
 
-// addressesToPoll returns the seeds and the recently listed control instances.
-// The caller must hold f.mu.
+// addressesToPoll returns the seeds and the control instances that were listed shortly before
+// the newest response: an instance that nobody answers for a while must find the group again
+// also if all seeds were replaced. The caller must hold f.mu.
 func (f *Follower) addressesToPoll() []string {
 	out := slices.Clone(f.seeds)
-	now := time.Now()
 	for address, listedAt := range f.lastListed {
-		if now.Sub(listedAt) < unlistedPollTime {
+		if f.contactAt.Sub(listedAt) < unlistedPollTime {
 			out = append(out, address)
 		}
 	}
--- a/internal/fleet/serving_test.go
+++ b/internal/fleet/serving_test.go
@@ -23,3 +23,16 @@
 	f.SetServing(true)
 	assert.Assert(t, f.self.Leaving)
 }
+
+// Guards against an instance that never finds the control group again: all seeds were
+// replaced while it was out of touch for longer than control instances are remembered.
+func TestControlInstancesAreRememberedWhileNobodyAnswers(t *testing.T) {
+	f := NewFollower(Watcher{Name: "e1"}, []string{"10.0.0.1:1"}, NewViewStore(nil, time.Now), http.DefaultClient, zerolog.Nop(), tally.NoopScope)
+	long := time.Now().Add(-time.Hour)
+	f.contactAt = long
+	f.noteListed([]string{"10.0.0.7:1", "10.0.0.8:1"}, long)
+	assert.DeepEqual(t, f.addressesToPoll(), []string{"10.0.0.1:1", "10.0.0.7:1", "10.0.0.8:1"})
+	f.contactAt = time.Now()
+	f.noteListed([]string{"10.0.0.8:1"}, f.contactAt)
+	assert.DeepEqual(t, f.addressesToPoll(), []string{"10.0.0.1:1", "10.0.0.8:1"})
+}
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -75,7 +75,7 @@
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	go server.Run(background)
-	go c.watchReloads(background, env, func([]string) {})
+	go c.watchReloads(background, reloadInterval, env, func([]string) {})
 
 	s := newServers()
 	internal := http.NewServeMux()
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -91,7 +91,7 @@
 	go exchange.Run(background)
 	go streams.Run(background)
 	go quarantine.NewReplicator(quarantined, views, follower, env.PeerClient, env.Metrics).Run(background)
-	go c.watchReloads(background, env, follower.SetSeeds)
+	go c.watchReloads(background, reloadInterval, env, follower.SetSeeds)
 
 	s := newServers()
 	conns := newCallerConns(views.Limits)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -60,25 +61,50 @@
 	return env, logOutput, err
 }
 
-// watchReloads reloads the settings on each SIGHUP and calls setSeeds with the new
-// seeds, until ctx ends. If a reload fails, the old seeds stay in use.
-func (c *Common) watchReloads(ctx context.Context, env *process.Env, setSeeds func([]string)) {
+// reloadInterval is the time between two readings of the settings without a signal: the
+// platform may change them without one.
+const reloadInterval = 5 * time.Second
+
+// reloads receives SIGHUP from the first moment of the process on: without a receiver the
+// signal would end it.
+var reloads = func() chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}()
+
+// watchReloads reads the settings again on each SIGHUP and every interval and calls setSeeds
+// if the seeds have changed, until ctx ends. If a reload fails, the old seeds stay in use.
+func (c *Common) watchReloads(ctx context.Context, interval time.Duration, env *process.Env, setSeeds func([]string)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	current, failed := c.Seeds, false
 	for {
+		signaled := false
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-reloads:
+			signaled = true
+		case <-ticker.C:
 		}
 		seeds, err := c.Reload()
 		if err != nil {
-			env.Log.Error().Err(err).Msg("settings not reloaded")
+			if signaled || !failed {
+				env.Log.Error().Err(err).Msg("settings not reloaded")
+			}
+			failed = true
 			continue
 		}
-		env.Log.Info().Strs("seeds", seeds).Msg("settings reloaded")
-		setSeeds(seeds)
+		failed = false
+		changed := !slices.Equal(seeds, current)
+		if signaled || changed {
+			env.Log.Info().Strs("seeds", seeds).Bool("signaled", signaled).Msg("settings reloaded")
+		}
+		if changed {
+			setSeeds(seeds)
+			current = seeds
+		}
 	}
 }
 
