forward, fleet: targets that ended without a word hide no others and are forgotten

Suspected by the review: targets that fall silent for good stayed in an entry instance's view until its restart, and the two random targets of other failure domains that a request considers could both be such. Silent ones are considered only where others are too few, and leave the view after ten minutes of silence.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -18,6 +18,17 @@
 	ColdUntil time.Time
 }
 
+// silentRetention is how long a target without announcements stays in the view. It exceeds
+// the time for which a target that works may be unable to announce itself.
+const silentRetention = 10 * time.Minute
+
+// isForgotten reports whether the target left, or fell silent, so long ago that nothing is
+// concluded from it any more.
+func (t *Target) isForgotten(now time.Time) bool {
+	age := now.Sub(t.LastAnnounced)
+	return (t.State.isLeaving() && age > recordRetention) || (t.State == Silent && age > silentRetention)
+}
+
 // View is an instance's copy of the deployment's state, merged from the responses
 // of the control instances. It is immutable.
 type View struct {
@@ -222,7 +233,7 @@
 	now := s.now()
 	targets := make(map[string]*Target, len(next.Targets)+len(announcements))
 	for id, t := range next.Targets {
-		if t.State.isLeaving() && now.Sub(t.LastAnnounced) > recordRetention {
+		if t.isForgotten(now) {
 			continue
 		}
 		targets[id] = t
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -94,17 +94,24 @@
 const maxRemoteCandidates = 2
 
 // sampleCandidates returns all candidates in the failure domain of demand d and
-// at most maxRemoteCandidates random others.
+// at most maxRemoteCandidates random others. Silent ones are among these only if there are
+// too few others: they may long have ended.
 func sampleCandidates(candidates []*endpoint, d *demand, shuffle func(n int, swap func(i, j int))) []*endpoint {
-	var local, remote []*endpoint
+	var local, remote, silent []*endpoint
 	for _, e := range candidates {
-		if e.failureDomain == d.origin.FailureDomain {
+		switch {
+		case e.failureDomain == d.origin.FailureDomain:
 			local = append(local, e)
-		} else {
+		case e.target.State == fleet.Silent:
+			silent = append(silent, e)
+		default:
 			remote = append(remote, e)
 		}
 	}
-	shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	for _, others := range [][]*endpoint{remote, silent} {
+		shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	}
+	remote = append(remote, silent...)
 	return append(local, remote[:min(len(remote), maxRemoteCandidates)]...)
 }
 
