standin/soak: leaving by answers and quiet times are kinds of the random soak

Checked from what targets see: no request reaches a target later than 1.5 s after its first answer that it leaves, and at most three from each instance reach one from half a second after its refusal to the end of its quiet time, while no entry instance has a fault.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -55,6 +55,7 @@
 	{"target crash", (*faultInjector).crashTarget}, {"target leaves", (*faultInjector).drainTarget},
 	{"misbehavior", (*faultInjector).misbehave}, {"misbehavior", (*faultInjector).misbehave}, {"misbehavior", (*faultInjector).misbehave},
 	{"other writer", (*faultInjector).announceOdd},
+	{"leaves by answers", (*faultInjector).leaveByAnswers}, {"wants quiet", (*faultInjector).wantQuiet},
 }
 
 // run starts faults until ctx is done and waits until all of them are over.
@@ -234,6 +235,43 @@
 	t.drainAndStop(context.WithoutCancel(ctx))
 }
 
+// leaveByAnswers starts another target and lets one say in its answers only that it leaves;
+// its announcements say that it is ready until it ends.
+func (c *faultInjector) leaveByAnswers(ctx context.Context, _ time.Duration, n int) {
+	ctx = context.WithoutCancel(ctx)
+	defer c.history.beginFault(allTargets, true)()
+	t := c.removeTarget(n)
+	c.replaceTarget()
+	t.statements.sayLeaving()
+	sleep(ctx, 2*drainDuration)
+	first, now := t.statements.first(), time.Now()
+	if !first.IsZero() && c.history.faultFree(first, now, true, instanceNames(c.entries)...) {
+		if late := t.statements.arrivedBetween(first.Add(tellTime), now); late > 0 {
+			c.violation("%d requests reached %s, which had said in answers that it leaves", late, t.self.ID)
+		}
+	}
+	t.crash()
+}
+
+// wantQuiet lets a target turn requests away and say for how long it wants none.
+func (c *faultInjector) wantQuiet(ctx context.Context, duration time.Duration, n int) {
+	ctx = context.WithoutCancel(ctx)
+	defer c.history.beginFault(allTargets, true)()
+	t := c.targetAt(n)
+	until := time.Now().Add(duration)
+	t.statements.wantQuiet(until)
+	sleep(ctx, duration)
+	first := t.statements.first()
+	if first.IsZero() || !c.history.faultFree(first, until, true, instanceNames(c.entries)...) {
+		return
+	}
+	// One request of each instance brings it the refusal.
+	allowed := (1 + maxInQuiet) * len(c.entries)
+	if late := t.statements.arrivedBetween(first.Add(quietGrace), until); late > allowed {
+		c.violation("%d requests reached %s in its quiet time, %d allowed", late, t.self.ID, allowed)
+	}
+}
+
 // misbehave makes two targets, as a rule one of each service, break the protocol with a
 // share of their answers, or with all.
 func (c *faultInjector) misbehave(ctx context.Context, duration time.Duration, n int) {
--- a/standin/soak/statements.go
+++ b/standin/soak/statements.go
@@ -10,6 +10,16 @@
 	"github.com/endivetrack/endivetrack/platform/platformtest"
 )
 
+const (
+	// tellTime is how long instances may take to tell each other, or one that has restarted,
+	// which target leaves.
+	tellTime = 1500 * time.Millisecond
+	// quietGrace is the time after a refusal with a quiet time in which requests may still
+	// arrive; maxInQuiet may arrive from each instance after it.
+	quietGrace = 500 * time.Millisecond
+	maxInQuiet = 2
+)
+
 // statements is what a target says of itself in its answers, beside its announcements.
 type statements struct {
 	mu         sync.Mutex
@@ -31,15 +41,16 @@
 func (s *statements) wantQuiet(until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.quietUntil = until
+	s.quietUntil, s.firstAt, s.arrivals = until, time.Time{}, nil
 }
 
-// write adds the statements to an answer, and reports whether the request is turned away.
-func (s *statements) write(w http.ResponseWriter, now time.Time) (refused bool) {
+// write adds the statements to an answer, and reports whether the request is turned away. A
+// run that is continued from its memory there does not count as an arrival.
+func (s *statements) write(w http.ResponseWriter, r *http.Request, now time.Time) (refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	refused = now.Before(s.quietUntil)
-	if !s.firstAt.IsZero() {
+	if !s.firstAt.IsZero() && r.Header.Get(platformtest.CopyFromHeader) == "" {
 		s.arrivals = append(s.arrivals, now)
 	}
 	if (refused || s.leaving) && s.firstAt.IsZero() {
--- a/standin/soak/statements_test.go
+++ b/standin/soak/statements_test.go
@@ -15,16 +15,8 @@
 	"github.com/endivetrack/endivetrack/standin/cluster"
 )
 
-const (
-	// tellTime is how long instances may take to tell each other, or one that has restarted,
-	// which target leaves.
-	tellTime = 1500 * time.Millisecond
-	// quietSpan is for how long a target wants no requests, and quietGrace the time after its
-	// answer in which requests may still arrive; maxInQuiet may arrive from each instance.
-	quietSpan  = 3 * time.Second
-	quietGrace = 500 * time.Millisecond
-	maxInQuiet = 2
-)
+// quietSpan is for how long a target wants no requests.
+const quietSpan = 3 * time.Second
 
 // statementPlay plays writes at all entry instances while one of the targets says something
 // of itself in its answers only; its announcements say that it is ready.
--- a/standin/soak/target.go
+++ b/standin/soak/target.go
@@ -229,7 +229,7 @@
 	if err != nil {
 		return // an incomplete request is not executed
 	}
-	if t.statements.write(w, time.Now()) {
+	if t.statements.write(w, r, time.Now()) {
 		t.refuseAsNotRun(w, id, http.StatusServiceUnavailable)
 		return
 	}
