--- a/internal/forward/statements_handler.go
+++ b/internal/forward/statements_handler.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/endivetrack/endivetrack/internal/jsonreply"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
@@ -31,13 +31,12 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", next)
 	mux.HandleFunc("GET "+statementsPath, func(w http.ResponseWriter, _ *http.Request) {
-		writeStatementsJSON(w, http.StatusOK, f.table.statementRows(time.Now()))
+		jsonreply.Write(w, http.StatusOK, f.table.statementRows(time.Now()))
 	})
 	mux.HandleFunc("DELETE "+statementsPath+"/{target}", func(w http.ResponseWriter, r *http.Request) {
 		target := r.PathValue("target")
 		if !f.table.liftStatements(target, time.Now()) {
-			err := resultcode.Newf(resultcode.UnknownStatement, "target %q has not said that it leaves or wants no requests", target)
-			writeStatementsJSON(w, err.Code.HTTPStatus(), map[string]string{"error": err.Error()})
+			jsonreply.WriteError(w, resultcode.Newf(resultcode.UnknownStatement, "target %q has not said that it leaves or wants no requests", target))
 			return
 		}
 		f.config.Logger.Warn().Str("target", target).Msg("target's statements lifted by an operator")
@@ -47,12 +46,6 @@
 	return mux
 }
 
-func writeStatementsJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v) // fails only if the client has disconnected
-}
-
 // statementRows returns the targets with statements in force, by ID.
 func (t *table) statementRows(now time.Time) []statementRow {
 	t.mu.Lock()
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -60,16 +60,12 @@
 // bytes. After a close, a reset or unexpected bytes from the peer it must not be
 // used for another request.
 func IsReusable(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
+	raw, ok := rawConn(c)
 	if !ok {
 		return false
 	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
 	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		n, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		open = n < 0 && (e == unix.EAGAIN || e == unix.EWOULDBLOCK)
--- a/internal/quarantine/handler.go
+++ b/internal/quarantine/handler.go
@@ -1,10 +1,10 @@
 package quarantine
 
 import (
-	"encoding/json"
 	"net/http"
 	"strings"
 
+	"github.com/endivetrack/endivetrack/internal/jsonreply"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
@@ -22,21 +22,14 @@
 }
 
 func (s *Store) serveList(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.List())
+	jsonreply.Write(w, http.StatusOK, s.List())
 }
 
 func (s *Store) serveLift(w http.ResponseWriter, r *http.Request) {
 	parts := strings.Split(strings.ToLower(r.PathValue("parts")), ",")
 	if !s.Lift(parts) {
-		err := resultcode.Newf(resultcode.UnknownQuarantine, "no quarantine of exactly these parts: %v", parts)
-		writeJSON(w, err.Code.HTTPStatus(), map[string]string{"error": err.Error()})
+		jsonreply.WriteError(w, resultcode.Newf(resultcode.UnknownQuarantine, "no quarantine of exactly these parts: %v", parts))
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v) // fails only if the client has disconnected
-}
