--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -117,6 +117,13 @@
 	return true
 }
 
+// bufferedBytesNow returns how many bytes of the buffer are reserved.
+func (f *Forwarder) bufferedBytesNow() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bufferedBytes
+}
+
 // release gives back all that was reserved.
 func (s *bufferSpace) release() {
 	s.f.mu.Lock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -67,10 +67,10 @@
 	// ReportPath is the path of an engine's report on itself, and ReportedIncarnation
 	// returns the incarnation that the body of such a report names; false if it names none.
 	ReportPath() string
+	ReportedIncarnation(body []byte) (int64, bool)
 	// OnAnswer sets a function that is called with each response to Move and Release. It
 	// must be set before the first call.
 	OnAnswer(call func(engine string, status int, header http.Header))
-	ReportedIncarnation(body []byte) (int64, bool)
 }
 
 // Config holds the settings and dependencies of a Forwarder.
@@ -164,7 +164,8 @@
 // Checks returns the steps that every request takes here, for a watchdog.
 func (f *Forwarder) Checks() []watchdog.Check {
 	return []watchdog.Check{
-		{Name: "forwarder", Run: func() { f.isStopping() }},
+		{Name: "bodies", Run: func() { f.bufferedBytesNow() }},
+		{Name: "durations", Run: func() { f.durations.slowest("", time.Now()) }},
 		{Name: "targets", Run: func() { f.table.instanceCount() }},
 		{Name: "view", Run: func() { f.config.Views.View() }},
 		{Name: "quarantine", Run: func() { f.config.Quarantine.Match(nil) }},
--- a/internal/forward/storm_test.go
+++ b/internal/forward/storm_test.go
@@ -109,9 +109,7 @@
 }
 
 func (f *fixture) accounts() accounts {
-	f.mu.Lock()
-	a := accounts{buffered: f.bufferedBytes}
-	f.mu.Unlock()
+	a := accounts{buffered: f.bufferedBytesNow()}
 	f.table.mu.Lock()
 	for _, e := range f.table.endpoints {
 		a.requests += e.requests
