forward: what a target has said outlives a change of its address; names and words

The same incarnation at another address got a new endpoint that knew nothing of its statements. TestStatementsOutliveAChangeOfAddress failed without the change and passes.

--- a/internal/forward/statements.go
+++ b/internal/forward/statements.go
@@ -60,6 +60,18 @@
 	return !l.At.IsZero() && l.Incarnation == e.incarnation && now.Sub(l.At) < maxLeaving
 }
 
+// adoptStatements takes over what the target has said if former is the same incarnation at
+// another address. The caller holds t.mu.
+func (t *table) adoptStatements(e, former *endpoint) {
+	if former == nil || former.incarnation != e.incarnation {
+		return
+	}
+	e.said = former.said
+	if !e.said.leavingAt.IsZero() {
+		t.startDrain(e)
+	}
+}
+
 // leavingNews returns what other instances should know.
 func (e *endpoint) leavingNews() LeavingStatement {
 	if e.said.leavingAt.IsZero() {
@@ -98,8 +110,8 @@
 }
 
 // mayBeginAt reports whether a request that was placed at e may be sent now. A run whose
-// memory is only there may be continued also at a target that leaves and, a few times, in
-// its quiet time.
+// memory is only there may be continued also at a target that leaves and, a few times that
+// are counted here, in its quiet time.
 func (t *table) mayBeginAt(e *endpoint, continued bool, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/forward/statements_test.go
+++ b/internal/forward/statements_test.go
@@ -331,6 +331,19 @@
 	assert.Assert(t, f.table.mayBeginAt(e, true, now.Add(time.Second)))
 }
 
+// Guards against a target that is used again because it announces another address.
+func TestStatementsOutliveAChangeOfAddress(t *testing.T) {
+	x, y := newFakeTarget(t, "i1", says(200, saysLeaving)), newFakeTarget(t, "i1", respondsWith(200, ""))
+	f := newFixture(t, "core", x)
+	_, _, err := f.call(t, "POST", "/write/", "pay")
+	assert.NilError(t, err)
+	f.announce(t, y, "core", "r-a", fleet.Ready)
+	resp, _, err := f.call(t, "POST", "/write/", "pay")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, len(y.seen()), 0)
+}
+
 // Answers to calls about runs count, too.
 func TestAnswerToAnEngineCallCounts(t *testing.T) {
 	x := newFakeTarget(t, "i1", respondsWith(200, ""))
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -103,12 +103,14 @@
 		if e != nil && e.target == target && sameDomains {
 			continue
 		}
+		var former *endpoint
 		if e != nil && (e.incarnation != target.Incarnation || e.address != target.Address) {
 			t.startDrain(e)
-			e = nil
+			former, e = e, nil
 		}
 		if e == nil {
 			e = t.newEndpoint(target, now)
+			t.adoptStatements(e, former)
 			t.endpoints[id] = e
 		}
 		t.updateEndpoint(e, target, now)
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -49,7 +49,7 @@
 // quarantineParts quarantines the sets of parts that are suspect of the most crashes, then
 // those that are suspect of the most of the other crashes, and so on.
 func (s *Store) quarantineParts(now time.Time) {
-	open := s.crashesWithout(s.explainedByParts)
+	open := s.crashesExcept(s.explainedByParts)
 	for len(open) > 0 {
 		found := s.strongestParts(open)
 		if len(found) == 0 {
@@ -100,16 +100,16 @@
 
 func (c candidate) hasSameParts(other candidate) bool { return slices.Equal(c.parts, other.parts) }
 
-// crashesWithout returns the crashes that are not explained, in the order of their times.
-func (s *Store) crashesWithout(explained func(*crash) bool) []*crash {
-	var open []*crash
+// crashesExcept returns the crashes that are not excluded, in the order of their times.
+func (s *Store) crashesExcept(excluded func(*crash) bool) []*crash {
+	var out []*crash
 	for _, c := range s.crashes {
-		if !explained(c) {
-			open = append(open, c)
+		if !excluded(c) {
+			out = append(out, c)
 		}
 	}
-	slices.SortFunc(open, func(a, b *crash) int { return a.at.Compare(b.at) })
-	return open
+	slices.SortFunc(out, func(a, b *crash) int { return a.at.Compare(b.at) })
+	return out
 }
 
 // appearance is a crash that a part is suspect of, with the suspects that have the part.
@@ -173,7 +173,7 @@
 func (s *Store) appearancesInSets(p string) []appearance {
 	withPart := func(r *record) bool { return slices.Contains(r.Parts, p) }
 	others := func(r *record) bool { return !r.IsRequest() && !withPart(r) }
-	explained := s.crashesWithout(func(c *crash) bool { return !s.explainedBy(c, withPart) || s.explainedBy(c, others) })
+	explained := s.crashesExcept(func(c *crash) bool { return !s.explainedBy(c, withPart) || s.explainedBy(c, others) })
 	return indexParts(explained, func(q string) bool { return q == p })[p]
 }
 
--- a/internal/quarantine/identity.go
+++ b/internal/quarantine/identity.go
@@ -51,8 +51,8 @@
 // then those that are suspect of the most of the crashes that these do not explain, and so
 // on. Crashes that the quarantine of another request explains count, too.
 func (s *Store) quarantineIdentities(now time.Time) {
-	crashes := s.crashesWithout(s.explainedByParts)
-	open := s.crashesWithout(s.explained)
+	crashes := s.crashesExcept(s.explainedByParts)
+	open := s.crashesExcept(s.explained)
 	for len(open) > 0 {
 		found := s.strongestIdentities(crashes, open, now)
 		if len(found) == 0 {
--- a/internal/watchdog/watchdog.go
+++ b/internal/watchdog/watchdog.go
@@ -1,4 +1,4 @@
-// Package watchdog notices that a process does not get on any more although it runs: a lock
+// Package watchdog notices that a process makes no progress although it runs: a lock
 // that every request needs is held for good, or a loop does not end. Such a process
 // accepts connections and answers its readiness check, but serves nothing.
 //
@@ -27,7 +27,7 @@
 // Check is one step that every request takes.
 type Check struct {
 	Name string
-	// Run takes the step. It returns at once while the process gets on.
+	// Run takes the step. It returns at once while the process makes progress.
 	Run func()
 }
 
@@ -50,7 +50,7 @@
 }
 
 // New returns a Watchdog. It calls onChange, one call at a time, whenever the process gets
-// stuck or gets on again.
+// stuck or makes progress again.
 func New(log zerolog.Logger, metrics tally.Scope, onChange func(healthy bool), checks ...Check) *Watchdog {
 	w := &Watchdog{log: log, metrics: metrics, onChange: onChange}
 	for _, c := range checks {
@@ -103,7 +103,7 @@
 func (w *Watchdog) advance(s *state) {
 	if !s.running {
 		if s.stuck {
-			w.log.Warn().Str("check", s.Name).Int("rounds", s.missed).Msg("gets on again")
+			w.log.Warn().Str("check", s.Name).Int("rounds", s.missed).Msg("no longer stuck")
 		}
 		s.running, s.missed, s.stuck = true, 0, false
 		go func() {
