--- a/internal/watchdog/watchdog_test.go
+++ b/internal/watchdog/watchdog_test.go
@@ -33,6 +33,8 @@
 		<-lock
 		time.Sleep(2 * interval)
 		assert.Assert(t, w.Healthy())
+		cancel()
+		synctest.Wait() // changes are recorded by the watchdog's goroutine
 		assert.DeepEqual(t, changes, []bool{false, true})
 	})
 }
