--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -123,7 +123,7 @@
 	e.limitBucket.refill(rate, burst, now)
 }
 
-// admit reports whether a request may be sent to e now, by the limit that the target names
+// admit reports whether a request may be sent to e now, by the limit that the target names,
 // by the rate of cold targets and by the pace after a quiet time, and counts it if so. The
 // caller holds t.mu.
 func (t *table) admit(e *endpoint, s *manifest.Service, now time.Time) bool {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -121,8 +121,8 @@
 	maxPeerErrorBytes = 64 << 10
 )
 
-// peerChecker bounds the bodies of responses and refuses successes that are not a peer's. Another server may run at an address
-// that a peer had, and an empty body decodes as any message.
+// peerChecker bounds the bodies of responses and refuses successes that are not a peer's:
+// an empty body of another server decodes as any message.
 type peerChecker struct {
 	next http.RoundTripper
 }
