forward: the test of a standstill ends its response with the head

Cause: the test is about a response whose connection has ended when its head is read, but its target sent the end in a segment of its own. When that came after the forwarder had opened a companion, the companion proved rightly that the process was alive, so 200 was true. Change: the target corks its connection, so that the end is in the segment of the response. The expectation is as before.

--- a/internal/forward/companion_test.go
+++ b/internal/forward/companion_test.go
@@ -136,7 +136,7 @@
 // Guards against a short unframed response that passes for complete after this process has
 // stood still: the end may be that of a process which another one has replaced since.
 func TestShortUnframedResponseAfterAStandstillIsNotWhole(t *testing.T) {
-	x := newFakeTarget(t, "i1", unframed("body", false))
+	x := newFakeTarget(t, "i1", unframedInOneSegment(t, "body"))
 	f := newFixture(t, "core")
 	f.announce(t, x, "core", "r-a", fleet.Ready)
 	later := time.Now().Add(time.Hour)
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"testing"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"github.com/endivetrack/endivetrack/internal/fleet"
@@ -30,6 +31,19 @@
 	}
 }
 
+// unframedInOneSegment responds like unframed and sends the end of the connection in the
+// segment of the response: when its head is read, the connection has already ended.
+func unframedInOneSegment(t *testing.T, text string) func(seenRequest, net.Conn) {
+	return func(r seenRequest, c net.Conn) {
+		raw, err := c.(*net.TCPConn).SyscallConn()
+		assert.Check(t, err)
+		assert.Check(t, raw.Control(func(fd uintptr) {
+			assert.Check(t, unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_CORK, 1))
+		}))
+		unframed(text, false)(r, c)
+	}
+}
+
 func TestUnframedResponseThatEndsWithItsConnectionIsWhole(t *testing.T) {
 	f := newFixture(t, "core", newFakeTarget(t, "i1", unframed("body", false)))
 	resp, body, err := f.call(t, "POST", "/write/", "pay")
