forward: an attempt that this instance gave up does not speak against its target

Callers saw: capacity that stood idle. A caller that left before its target had answered, and an instance that stopped, marked the sound target as failed; it got no requests for 0.3 s, twice as long with each further one, up to 5 s, until a request succeeded. Cause: giving up an attempt sets a passed deadline on its connection, and the timeout that follows was taken for the target's. Only withdrawals of quarantined requests were told apart (withdrawnError). Change: givenUpError returns the cause of any attempt that was given up, and only in place of that timeout: a reset or a broken response at the same moment stays what it was. A caller that leaves within minTimeLeft of its deadline has waited as long as it said: a timeout of the target, as before.

--- a/internal/forward/pending.go
+++ b/internal/forward/pending.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"sync"
 
 	"github.com/endivetrack/endivetrack/internal/quarantine"
@@ -63,11 +64,16 @@
 	}
 }
 
-// withdrawnError returns errWithdrawn if the attempt failed because it was withdrawn, and
-// err otherwise.
-func withdrawnError(ctx context.Context, err error) error {
-	if err != nil && errors.Is(context.Cause(ctx), errWithdrawn) {
-		return errWithdrawn
+// givenUpError returns why this instance ended the attempt if that is why it failed with
+// err, and err otherwise. It shows as a timeout of the attempt's connection. A caller that
+// leaves at its deadline has waited as long as it wanted to: for the target that is a timeout.
+func givenUpError(ctx context.Context, q *request, err error) error {
+	cause := context.Cause(ctx)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !errors.Is(cause, context.Canceled) {
+		return err
 	}
-	return err
+	if cause == context.Canceled && q.timeLeft() < minTimeLeft {
+		return err
+	}
+	return cause
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -140,18 +140,18 @@
 	defer settled()
 	resp, err := f.sendRequest(attempt, l, q, nil)
 	if err != nil {
-		return &outcome{lease: l, err: withdrawnError(attempt, err)}
+		return &outcome{lease: l, err: givenUpError(attempt, q, err)}
 	}
-	o := f.readResponse(attempt, resp, l)
+	o := f.readResponse(attempt, q, resp, l)
 	if o.largeResponse != nil && !resp.attachContext(ctx) {
-		o.err = withdrawnError(attempt, attempt.Err())
+		o.err = context.Cause(attempt)
 	}
 	return o
 }
 
 // readResponse reads a response to its end, or up to maxBufferedResponse, and keeps its
 // connection for another request if it can.
-func (f *Forwarder) readResponse(ctx context.Context, resp *targetResponse, l *lease) *outcome {
+func (f *Forwarder) readResponse(ctx context.Context, q *request, resp *targetResponse, l *lease) *outcome {
 	o := &outcome{lease: l, status: resp.StatusCode, header: resp.Header, refused: resp.statesNotRun(&f.config.Headers)}
 	resp.companion = f.openCompanion(resp, l.endpoint)
 	var err error
@@ -163,7 +163,7 @@
 		o.err = errUnrelatedResponse
 	}
 	if o.err != nil {
-		o.err = withdrawnError(ctx, o.err)
+		o.err = givenUpError(ctx, q, o.err)
 		resp.closeConn(l)
 		return o
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -146,11 +146,11 @@
 	defer settled()
 	resp, err := r.f.sendRequest(attempt, l, r.q, resume)
 	if err != nil {
-		return &outcome{lease: l, err: withdrawnError(attempt, err)}, nil
+		return &outcome{lease: l, err: givenUpError(attempt, r.q, err)}, nil
 	}
 	defer func() { r.logLegEnded(l, resume, resp) }()
 	if resp.StatusCode != http.StatusOK {
-		o := r.f.readResponse(attempt, resp, l)
+		o := r.f.readResponse(attempt, r.q, resp, l)
 		if o.err == nil && r.caller.begun() && !o.refused {
 			o.err = fmt.Errorf("%w: status %d", errNotContinued, o.status)
 		}
@@ -164,7 +164,7 @@
 	r.caller.startLeg(resp.Header)
 	resp.companion = r.f.openCompanion(resp, l.endpoint)
 	m := r.f.startMover(ctx, r, l, resp)
-	err = withdrawnError(attempt, r.relayEvents(l, resp.Body, settled))
+	err = givenUpError(attempt, r.q, r.relayEvents(l, resp.Body, settled))
 	if err == nil {
 		err = r.f.checkEnd(ctx, resp, l.endpoint, resp.companion)
 	}
