explain: a refusal names the targets that leave, want no requests or name a limit

A request that was refused before it was placed has no line that names a target, so the explanation ended with the code alone. Change: the refused line carries the service, and the explanation adds what the same instance had last logged of each of its targets, where that still held at the refusal. A stream that was cut at a target which had said that it leaves names that, too. The quiet line is logged again when the time becomes longer by a second or more, so that the end it names is true. Tests: TestExplainNamesWhatTargetsHadSaid and TestLongerQuietTimeIsLogged; both failed before (no such text; a longer time was no news).

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/timeline"
 )
 
@@ -19,20 +20,25 @@
 
 // Line holds the fields of one log line that explanations use.
 type Line struct {
-	Time        time.Time `json:"time"`
-	Clock       string    `json:"clock"`
-	Instance    string    `json:"instance"`
-	Message     string    `json:"message"`
-	Request     string    `json:"request"`
-	Target      string    `json:"target"`
-	From        string    `json:"from"`
-	To          string    `json:"to"`
-	Error       string    `json:"error"`
-	Code        int       `json:"code"`
-	Status      int       `json:"status"`
-	NotRun      bool      `json:"not_run"`
-	State       int       `json:"state"`
-	Text        string    `json:"-"` // the line as it was logged
+	Time        time.Time         `json:"time"`
+	Clock       string            `json:"clock"`
+	Instance    string            `json:"instance"`
+	Message     string            `json:"message"`
+	Request     string            `json:"request"`
+	Target      string            `json:"target"`
+	From        string            `json:"from"`
+	To          string            `json:"to"`
+	Error       string            `json:"error"`
+	Code        int               `json:"code"`
+	Status      int               `json:"status"`
+	NotRun      bool              `json:"not_run"`
+	State       fleet.TargetState `json:"state"`
+	Service     string            `json:"service"`
+	Usable      bool              `json:"usable"`
+	Leaving     string            `json:"says_it_leaves"` // who brought the target's statement that it leaves
+	ForMillis   float64           `json:"for"`            // how long a target wants no requests
+	Limit       float64           `json:"limit"`          // in requests per second; 0 means none
+	Text        string            `json:"-"`              // the line as it was logged
 	logicalTime timeline.Timestamp
 }
 
@@ -100,6 +106,10 @@
 	}
 	sortLines(requestLines)
 	entryInstance, last := requestLines[0].Instance, requestLines[len(requestLines)-1]
+	if final := outcomeLine(requestLines); final.Message == "refused" && len(requestTargets) == 0 {
+		unavailable := l.unavailableTargets(final)
+		return Explanation{Lines: append(unavailable, requestLines...), Cause: describeCause(requestLines, nil, false) + describeTargets(unavailable)}
+	}
 	var related []Line
 	for _, line := range l.lines {
 		isTargetEvent := line.Request == "" && requestTargets[line.Target] && line.Instance == entryInstance && !last.logicalTime.Before(line.logicalTime) && last.Time.Sub(line.Time) < targetEventWindow
@@ -190,13 +200,12 @@
 	return fmt.Sprintf("target %s answered %d", line.Target, line.Status)
 }
 
-// targetDeparture describes the last target that announced state 2 (draining)
-// or 3 (gone); "" if none did.
+// targetDeparture describes the last target that left; "" if none did.
 func targetDeparture(related []Line) string {
 	departure := ""
 	for _, line := range related {
-		if line.Message == "target" && (line.State == 2 || line.State == 3) {
-			departure = fmt.Sprintf("target %s left at %s", line.Target, line.Time.UTC().Format("15:04:05.000"))
+		if line.leaves() {
+			departure = describeTarget(line)
 		}
 	}
 	return departure
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -48,6 +48,36 @@
 	assert.Equal(t, len(l.Explain("none").Lines), 0)
 }
 
+// Guards against a refusal without a trace of the targets that left or wanted no requests,
+// which the request never reached, and against naming those that had become usable again.
+func TestExplainNamesWhatTargetsHadSaid(t *testing.T) {
+	const said = `{"instance":"e1","target":"i1","service":"s","usable":false,"state":1,"says_it_leaves":"request r0","time":"2026-10-01T20:13:02.000Z","message":"target"}
+{"instance":"e1","target":"i2","service":"s","source":"request r0","for":3000,"time":"2026-10-01T20:14:02.000Z","message":"target wants no requests"}
+{"instance":"e1","target":"i3","service":"s","for":3000,"time":"2026-10-01T20:13:02.000Z","message":"target wants no requests"}
+{"instance":"e1","target":"i4","service":"s","usable":false,"state":2,"time":"2026-10-01T20:14:01.000Z","message":"target"}
+{"instance":"e1","target":"i4","service":"s","usable":true,"state":1,"time":"2026-10-01T20:14:02.000Z","message":"target"}
+{"instance":"e1","target":"i5","service":"other","usable":false,"state":2,"time":"2026-10-01T20:14:01.000Z","message":"target"}
+{"instance":"e2","target":"i6","service":"s","usable":false,"state":2,"time":"2026-10-01T20:14:01.000Z","message":"target"}
+{"instance":"e1","target":"i10","service":"s","usable":false,"state":3,"time":"2026-10-01T20:13:01.000Z","message":"target"}
+{"instance":"e1","target":"i11","service":"s","usable":false,"state":2,"time":"2026-10-01T18:13:01.000Z","message":"target"}
+{"instance":"e1","target":"i8","service":"s","limit":2.5,"time":"2026-10-01T20:13:02.500Z","message":"target limit"}
+{"instance":"e1","target":"i9","service":"s","limit":2.5,"time":"2026-10-01T20:13:02.500Z","message":"target limit"}
+{"instance":"e1","target":"i9","service":"s","limit":0,"time":"2026-10-01T20:13:02.600Z","message":"target limit"}
+{"instance":"e1","request":"r1","service":"s","code":2003,"error":"2003 OVERLOADED: x","time":"2026-10-01T20:14:03.000Z","message":"refused"}
+{"instance":"e1","target":"i7","service":"s","usable":false,"state":2,"time":"2026-10-01T20:14:04.000Z","message":"target"}
+{"instance":"e1","request":"r2","target":"i1","time":"2026-10-01T20:13:01.000Z","message":"placed"}
+{"instance":"e1","request":"r2","target":"i1","error":"EOF","time":"2026-10-01T20:13:04.000Z","message":"attempt failed"}
+{"instance":"e1","request":"r2","time":"2026-10-01T20:13:04.000Z","message":"stream cut"}
+`
+	var l Log
+	_, err := l.Read(strings.NewReader(said))
+	assert.NilError(t, err)
+	refused := l.Explain("r1")
+	assert.Equal(t, refused.Cause, "refused with code 2003: 2003 OVERLOADED: x; target i1 said that it leaves (request r0), known since 20:13:02.000; target i8 names a limit of 2.5 requests/s; target i2 wants no requests until 20:14:05.000")
+	assert.Equal(t, len(refused.Lines), 4)
+	assert.Equal(t, l.Explain("r2").Cause, "stream cut: target i1 said that it leaves (request r0), known since 20:13:02.000; target i1: EOF")
+}
+
 // Guards against an effect that is listed before its cause because the wall
 // clock of one process is behind.
 func TestLinesFollowLogicalClock(t *testing.T) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -227,11 +227,14 @@
 		f.config.Logger.Info().Str("request", q.id).Msg("caller left")
 		panic(http.ErrAbortHandler)
 	}
-	name := ""
+	route, service := "", ""
 	if q.route != nil {
-		name = q.route.Name
+		route = q.route.Name
 	}
-	f.config.Logger.Warn().Str("request", q.id).Str("route", name).Int("code", int(e.Code)).
+	if q.service != nil {
+		service = q.service.Name
+	}
+	f.config.Logger.Warn().Str("request", q.id).Str("route", route).Str("service", service).Int("code", int(e.Code)).
 		Dur("after", time.Since(q.arrived)).Err(err).Msg("refused")
 	if w.begun {
 		panic(http.ErrAbortHandler)
--- a/internal/forward/statements.go
+++ b/internal/forward/statements.go
@@ -30,6 +30,9 @@
 	// requestsInQuiet is how many runs whose memory only this target has may continue there
 	// in one quiet time.
 	requestsInQuiet = 2
+	// quietNews is the time by which a quiet one must grow to be logged again: many requests
+	// that were under way may be refused with nearly the same end.
+	quietNews = time.Second
 )
 
 // statements is what one incarnation of a target has said of itself to this instance, or of
@@ -210,18 +213,20 @@
 }
 
 // setQuiet stores until when a target wants no requests; a shorter time does not replace a
-// longer one. It reports whether a quiet time begins.
-func (t *table) setQuiet(e *endpoint, source string, now, until time.Time) bool {
+// longer one. It reports whether that is news: a quiet time begins or becomes longer by
+// quietNews.
+func (t *table) setQuiet(e *endpoint, source string, now, until time.Time) (isNews bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	begins := !now.Before(e.said.quietUntil)
 	if begins {
 		e.said.quietSince, e.said.continued = now, 0
 	}
+	isNews = begins || until.Sub(e.said.quietUntil) >= quietNews
 	if until.After(e.said.quietUntil) {
 		e.said.quietUntil, e.said.quietSource = until, source
 	}
-	return begins
+	return isNews
 }
 
 // parseQuiet returns the time that Retry-After names: a decimal number of seconds, or a date
--- a/internal/forward/statements_test.go
+++ b/internal/forward/statements_test.go
@@ -273,6 +273,19 @@
 	assert.Assert(t, left > 4*time.Second && left <= 5*time.Second, "%s", left)
 }
 
+// Guards against a log that names an end of a quiet time which has become much later, and
+// against a line for each of many refusals that name nearly the same end.
+func TestLongerQuietTimeIsLogged(t *testing.T) {
+	f := newFixture(t, "core", newFakeTarget(t, "i1", respondsWith(200, "")))
+	e, now := f.table.endpoints["i1"], time.Now()
+	for _, c := range []struct {
+		until  time.Duration
+		isNews bool
+	}{{2 * time.Second, true}, {2100 * time.Millisecond, false}, {time.Second, false}, {9 * time.Second, true}} {
+		assert.Equal(t, f.table.setQuiet(e, "test", now, now.Add(c.until)), c.isNews, "%s", c.until)
+	}
+}
+
 // If all targets are quiet, the caller is told at once that nothing ran and when to come
 // back, and not all callers come back at the same moment.
 func TestCallersAreRefusedAtOnceWhileAllTargetsAreQuiet(t *testing.T) {
