--- a/internal/forward/companion.go
+++ b/internal/forward/companion.go
@@ -123,10 +123,11 @@
 }
 
 // checkEnd returns an error if the end of a connection, which ended the response, can be
-// that of the target's process. c is nil if the response had ended when its head was read:
+// that of the target's process. Without a companion the response had ended when its head was read:
 // then only a process that nothing has replaced since counts as alive, and nothing is known
 // if this process stood still meanwhile.
-func (f *Forwarder) checkEnd(ctx context.Context, a *targetResponse, e *endpoint, c *companion) error {
+func (f *Forwarder) checkEnd(ctx context.Context, a *targetResponse, e *endpoint) error {
+	c := a.companion
 	switch {
 	case netconn.IsFramed(a.Response):
 		return nil
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -171,7 +171,7 @@
 		o.largeResponse = resp
 		return o
 	}
-	if o.err = f.checkEnd(ctx, resp, l.endpoint, resp.companion); o.err != nil {
+	if o.err = f.checkEnd(ctx, resp, l.endpoint); o.err != nil {
 		resp.closeConn(l)
 		return o
 	}
@@ -279,7 +279,7 @@
 		_, err = io.Copy(w, o.largeResponse.Body)
 	}
 	if err == nil {
-		err = f.checkEnd(context.Background(), o.largeResponse, o.lease.endpoint, o.largeResponse.companion)
+		err = f.checkEnd(context.Background(), o.largeResponse, o.lease.endpoint)
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -166,7 +166,7 @@
 	m := r.f.startMover(ctx, r, l, resp)
 	err = givenUpError(attempt, r.q, r.relayEvents(l, resp.Body, settled))
 	if err == nil {
-		err = r.f.checkEnd(ctx, resp, l.endpoint, resp.companion)
+		err = r.f.checkEnd(ctx, resp, l.endpoint)
 	}
 	next, err := r.endLeg(ctx, m, netconn.IsFramed(resp.Response), err)
 	r.legErr = err
