forward: all pauses after refusals differ from caller to caller

Callers saw: after a refusal because all targets of a service leave, each was told 0.3 s, so that they all came back in one moment; the same with no manifest, a spent retry budget and the last target that is spared. Change: internal/forward/pause.go holds the pauses and spreads them. That of a stopping instance stays: its callers go to other instances. Test: TestCallersAreRefusedAtOnceWhileAllTargetsLeave failed before (ten refusals, one value), passes now; internal/forward passes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/endivetrack/endivetrack/internal/netconn"
-	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
 // maxStrayResponses bounds how many informational responses and responses to
@@ -282,30 +281,3 @@
 	}
 	return resp.Header.Get(f.config.Headers.Stamp) != "" && resp.Header.Get("Content-Encoding") == ""
 }
-
-// Values of the Retry-After header for refused requests, by the reason for the
-// refusal.
-const (
-	pauseNoTarget   = 300 * time.Millisecond
-	pauseDraining   = 100 * time.Millisecond // short, because other instances still accept requests
-	pauseNoManifest = 500 * time.Millisecond
-	pauseOverloaded = 700 * time.Millisecond
-	// pauseLastTarget is about the time in which a crashed target comes back.
-	pauseLastTarget = 2 * time.Second
-	// minLimitPause is the shortest pause after a refusal because of targets' limits.
-	minLimitPause = 50 * time.Millisecond
-)
-
-func retryAfter(c resultcode.Code) time.Duration {
-	switch c {
-	case resultcode.NoTarget:
-		return pauseNoTarget
-	case resultcode.Draining:
-		return pauseDraining
-	case resultcode.ControlUnavailable:
-		return pauseNoManifest
-	case resultcode.Overloaded, resultcode.RetryBudget:
-		return pauseOverloaded
-	}
-	return 0
-}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -246,7 +246,7 @@
 	}
 	pause := e.RetryAfter
 	if pause == 0 {
-		pause = retryAfter(e.Code)
+		pause = defaultPause(e.Code)
 	}
 	if pause > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 2, 64))
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -19,7 +19,7 @@
 	if f.config.Quarantine.SpareLast(q.features) && f.isLastTarget(q) {
 		f.config.Metrics.Counter("quarantine.refused").Inc(1)
 		a.lastErr = resultcode.Newf(resultcode.RequestQuarantined, "two targets of %q have just crashed with this request (%s), and one is left", q.service.Name, q.identity).
-			WithRetryAfter(pauseLastTarget)
+			WithRetryAfter(spreadPause(pauseLastTarget, rand.Float64))
 		return nil
 	}
 	d, now := f.table.demandFor(q, a.exclude), time.Now()
--- a/internal/forward/statements.go
+++ b/internal/forward/statements.go
@@ -294,21 +294,3 @@
 	}
 	return shortest, found
 }
-
-const (
-	// maxStatedPause bounds the pause after a refusal because of what targets say: other
-	// targets may have come until then.
-	maxStatedPause = 5 * time.Second
-	// pauseSpread is the part of a pause by which those of several callers differ, and
-	// minPauseSpread the least time.
-	pauseSpread    = 0.25
-	minPauseSpread = 100 * time.Millisecond
-)
-
-// spreadPause returns the pause for a caller whose request can be accepted after wait. Not
-// all callers return at the same moment. random returns values in [0, 1).
-func spreadPause(wait time.Duration, random func() float64) time.Duration {
-	pause := min(max(minLimitPause, wait), maxStatedPause)
-	spread := max(float64(minPauseSpread), pauseSpread*float64(pause))
-	return pause + time.Duration(random()*spread)
-}
--- a/internal/forward/statements_test.go
+++ b/internal/forward/statements_test.go
@@ -286,6 +286,27 @@
 	}
 }
 
+// Guards against callers that all come back at the same moment after all targets of a service
+// have said that they leave.
+func TestCallersAreRefusedAtOnceWhileAllTargetsLeave(t *testing.T) {
+	x := newFakeTarget(t, "i1", says(200, saysLeaving))
+	f := newFixture(t, "core", x)
+	resp, _, err := f.call(t, "POST", "/write/", "pay")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	pauses := map[string]bool{}
+	for range 10 {
+		began := time.Now()
+		resp, _, err := f.call(t, "POST", "/write/", "pay")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Assert(t, time.Since(began) < 500*time.Millisecond)
+		pauses[resp.Header.Get("Retry-After")] = true
+	}
+	assert.Equal(t, len(x.seen()), 1)
+	assert.Assert(t, len(pauses) > 3, "%v", pauses)
+}
+
 // If all targets are quiet, the caller is told at once that nothing ran and when to come
 // back, and not all callers come back at the same moment.
 func TestCallersAreRefusedAtOnceWhileAllTargetsAreQuiet(t *testing.T) {
@@ -306,7 +327,7 @@
 		pause := spreadPause(2*time.Second, func() float64 { return random })
 		assert.Assert(t, pause >= 2*time.Second && pause <= 2500*time.Millisecond, "%d: %s", n, pause)
 	}
-	assert.Assert(t, spreadPause(maxQuiet, func() float64 { return 1 }) < 2*maxStatedPause)
+	assert.Assert(t, spreadPause(maxQuiet, func() float64 { return 1 }) < 2*maxPause)
 }
 
 // After its quiet time a target, which looks idle to everyone, is not given all requests at
