--- a/internal/forward/statements.go
+++ b/internal/forward/statements.go
@@ -1,13 +1,11 @@
 package forward
 
 import (
-	"math"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/endivetrack/endivetrack/internal/fleet"
+	"github.com/endivetrack/endivetrack/internal/statement"
 )
 
 // What a target says of itself in its answers is kept here, for one incarnation, and
@@ -19,10 +17,8 @@
 // that restarts has forgotten it; the others tell it which targets leave.
 
 const (
-	// maxQuiet bounds the time for which a target may ask for no requests, and maxLeaving
-	// that for which it is believed to leave while it announces that it is ready. A faulty
-	// target can keep itself out of use for so long.
-	maxQuiet   = time.Hour
+	// maxLeaving bounds the time for which a target is believed to leave while it announces
+	// that it is ready. A faulty target can keep itself out of use for so long.
 	maxLeaving = time.Hour
 	// easeTime is the time after a quiet one over which a target gets up to its full number
 	// of requests: it looks idle to everyone at once.
@@ -135,7 +131,7 @@
 		return
 	}
 	f.recordLimit(e, header)
-	if statesLeaving(header.Values(f.config.Headers.Leaving)) {
+	if statement.Leaving(header.Values(f.config.Headers.Leaving)) {
 		f.recordLeaving(e, source)
 	}
 	if status == http.StatusServiceUnavailable {
@@ -172,16 +168,6 @@
 	return nil
 }
 
-// statesLeaving reports whether the values of the header say that the target leaves.
-func statesLeaving(values []string) bool {
-	for _, v := range values {
-		if strings.TrimSpace(v) == "1" {
-			return true
-		}
-	}
-	return false
-}
-
 // setLeaving stores that an incarnation leaves and begins its drain. It reports whether that
 // is news. The caller holds t.mu.
 func (t *table) setLeaving(e *endpoint, source string, at time.Time) bool {
@@ -198,7 +184,7 @@
 // recordQuiet stores for how long a target that has turned a request away wants no others.
 func (f *Forwarder) recordQuiet(e *endpoint, source string, header http.Header) {
 	now := time.Now()
-	pause, ok := parseQuiet(header, now)
+	pause, ok := statement.Quiet(header, now)
 	if !ok {
 		f.config.Metrics.Counter("forward.quiet_malformed").Inc(1)
 		return
@@ -229,41 +215,6 @@
 	return isNews
 }
 
-// parseQuiet returns the time that Retry-After names: a decimal number of seconds, or a date
-// by the clock of the response's Date header. It returns 0 for none, for 0 and for times in
-// the past, at most maxQuiet, and false if a value is neither. Of several, the longest
-// counts.
-func parseQuiet(header http.Header, now time.Time) (time.Duration, bool) {
-	longest := time.Duration(0)
-	for _, v := range header.Values("Retry-After") {
-		pause, ok := parsePause(strings.TrimSpace(v), header.Get("Date"), now)
-		if !ok {
-			return 0, false
-		}
-		longest = max(longest, pause)
-	}
-	return longest, true
-}
-
-func parsePause(value, date string, now time.Time) (time.Duration, bool) {
-	const decimal = "+-.0123456789eE"
-	if strings.Trim(value, decimal) == "" {
-		seconds, err := strconv.ParseFloat(value, 64)
-		if err != nil && !math.IsInf(seconds, 0) {
-			return 0, false
-		}
-		return time.Duration(max(0, min(seconds, maxQuiet.Seconds())) * float64(time.Second)), true
-	}
-	at, err := http.ParseTime(value)
-	if err != nil {
-		return 0, false
-	}
-	if sentAt, err := http.ParseTime(date); err == nil {
-		now = sentAt
-	}
-	return max(0, min(at.Sub(now), maxQuiet)), true
-}
-
 // admitAfterQuiet reports whether e may get a further request of this instance by the time
 // since its quiet one: its share of the slots opens over easeTime.
 func (e *endpoint) admitAfterQuiet(instances int, now time.Time) bool {
--- a/internal/forward/statements_test.go
+++ b/internal/forward/statements_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/endivetrack/endivetrack/internal/fleet"
+	"github.com/endivetrack/endivetrack/internal/statement"
 )
 
 // says returns a function that answers with a status and extra header lines.
@@ -185,44 +186,6 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 }
 
-func TestQuietTimesThatRetryAfterNames(t *testing.T) {
-	now := time.Date(2026, 12, 5, 12, 0, 0, 0, time.UTC)
-	date := func(d time.Duration) string { return now.Add(d).Format(http.TimeFormat) }
-	for _, c := range []struct {
-		values []string
-		want   time.Duration
-		ok     bool
-	}{
-		{nil, 0, true},
-		{[]string{"3"}, 3 * time.Second, true},
-		{[]string{" 2.5 "}, 2500 * time.Millisecond, true},
-		{[]string{"0"}, 0, true},
-		{[]string{"-4"}, 0, true},
-		{[]string{"1e2"}, 100 * time.Second, true},
-		{[]string{"1e999"}, maxQuiet, true},
-		{[]string{"99999999999999999999"}, maxQuiet, true},
-		{[]string{"1", "4", "2"}, 4 * time.Second, true},
-		{[]string{date(7 * time.Second)}, 7 * time.Second, true},
-		{[]string{date(-time.Hour)}, 0, true},
-		{[]string{date(48 * time.Hour)}, maxQuiet, true},
-		{[]string{""}, 0, false},
-		{[]string{"soon"}, 0, false},
-		{[]string{"NaN"}, 0, false},
-		{[]string{"Inf"}, 0, false},
-		{[]string{"0x10"}, 0, false},
-		{[]string{"1_000"}, 0, false},
-		{[]string{"3 s"}, 0, false},
-		{[]string{strings.Repeat("9", 10_000)}, maxQuiet, true},
-	} {
-		got, ok := parseQuiet(http.Header{"Retry-After": c.values}, now)
-		assert.Equal(t, ok, c.ok, "%.40v", c.values)
-		assert.Equal(t, got, c.want, "%.40v", c.values)
-	}
-	skewed := http.Header{"Retry-After": {date(time.Hour + 5*time.Second)}, "Date": {date(time.Hour)}}
-	got, ok := parseQuiet(skewed, now)
-	assert.Assert(t, ok && got == 5*time.Second, "the target's clock is an hour ahead")
-}
-
 // A target that turns requests away for a time gets at most two more in it, whatever was on
 // its way; callers are served by another one that has room.
 func TestQuietTargetGetsNoRequestsUntilItsTimeIsOver(t *testing.T) {
@@ -327,7 +290,7 @@
 		pause := spreadPause(2*time.Second, func() float64 { return random })
 		assert.Assert(t, pause >= 2*time.Second && pause <= 2500*time.Millisecond, "%d: %s", n, pause)
 	}
-	assert.Assert(t, spreadPause(maxQuiet, func() float64 { return 1 }) < 2*maxPause)
+	assert.Assert(t, spreadPause(statement.MaxQuiet, func() float64 { return 1 }) < 2*maxPause)
 }
 
 // After its quiet time a target, which looks idle to everyone, is not given all requests at
