statement: an unreadable Retry-After does not hide a readable one beside it

A target that answered 503 with two values, one of them no time, was not left in peace: the whole statement was ignored. The row with three values failed before (0 for 4 s).

--- a/internal/forward/statements.go
+++ b/internal/forward/statements.go
@@ -187,7 +187,6 @@
 	pause, ok := statement.Quiet(header, now)
 	if !ok {
 		f.config.Metrics.Counter("forward.quiet_malformed").Inc(1)
-		return
 	}
 	if pause == 0 {
 		return
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -23,20 +23,18 @@
 	return false
 }
 
-// Quiet returns the time that Retry-After names: a decimal number of seconds, or a date
-// by the clock of the response's Date header. It returns 0 for none, for 0 and for times in
-// the past, at most MaxQuiet, and false if a value is neither. Of several, the longest
-// counts.
-func Quiet(header http.Header, now time.Time) (time.Duration, bool) {
-	longest := time.Duration(0)
+// Quiet returns the time that Retry-After names: a decimal number of seconds, or a date by
+// the clock of the response's Date header. It returns 0 for none, for 0 and for times in the
+// past, and at most MaxQuiet. Of several, the longest counts; ok is false if a value is
+// neither a number nor a date.
+func Quiet(header http.Header, now time.Time) (longest time.Duration, ok bool) {
+	ok = true
 	for _, v := range header.Values("Retry-After") {
-		pause, ok := parsePause(strings.TrimSpace(v), header.Get("Date"), now)
-		if !ok {
-			return 0, false
-		}
+		pause, parsed := parsePause(strings.TrimSpace(v), header.Get("Date"), now)
+		ok = ok && parsed
 		longest = max(longest, pause)
 	}
-	return longest, true
+	return longest, ok
 }
 
 func parsePause(value, date string, now time.Time) (time.Duration, bool) {
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -29,6 +29,7 @@
 		{[]string{date(7 * time.Second)}, 7 * time.Second, true},
 		{[]string{date(-time.Hour)}, 0, true},
 		{[]string{date(48 * time.Hour)}, MaxQuiet, true},
+		{[]string{"soon", "4", ""}, 4 * time.Second, false},
 		{[]string{""}, 0, false},
 		{[]string{"soon"}, 0, false},
 		{[]string{"NaN"}, 0, false},
