--- a/internal/forward/pause.go
+++ b/internal/forward/pause.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/endivetrack/endivetrack/internal/pause"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
@@ -18,36 +19,17 @@
 	pauseLastTarget = 2 * time.Second
 )
 
-const (
-	// minPause and maxPause bound the pause after a refusal because of what targets say:
-	// until maxPause has passed, other targets may have come.
-	minPause = 50 * time.Millisecond
-	maxPause = 5 * time.Second
-	// pauseSpread is the part of a pause by which those of several callers differ, and
-	// minPauseSpread the least time.
-	pauseSpread    = 0.25
-	minPauseSpread = 100 * time.Millisecond
-)
-
 // defaultPause returns the pause after a refusal that names none; 0 if there is none.
 func defaultPause(c resultcode.Code) time.Duration {
 	switch c {
 	case resultcode.NoTarget:
-		return spreadPause(pauseNoTarget, rand.Float64)
+		return pause.Spread(pauseNoTarget, rand.Float64)
 	case resultcode.Draining:
 		return pauseDraining // callers find other instances, so that no wave comes back
 	case resultcode.ControlUnavailable:
-		return spreadPause(pauseNoManifest, rand.Float64)
+		return pause.Spread(pauseNoManifest, rand.Float64)
 	case resultcode.Overloaded, resultcode.RetryBudget:
-		return spreadPause(pauseOverloaded, rand.Float64)
+		return pause.Spread(pauseOverloaded, rand.Float64)
 	}
 	return 0
 }
-
-// spreadPause returns the pause for a caller whose request can be accepted after wait. Not
-// all callers return at the same moment. random returns values in [0, 1).
-func spreadPause(wait time.Duration, random func() float64) time.Duration {
-	pause := min(max(minPause, wait), maxPause)
-	spread := max(float64(minPauseSpread), pauseSpread*float64(pause))
-	return pause + time.Duration(random()*spread)
-}
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/endivetrack/endivetrack/internal/pause"
 	"github.com/endivetrack/endivetrack/internal/quarantine"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
@@ -19,7 +20,7 @@
 	if f.config.Quarantine.SpareLast(q.features) && f.isLastTarget(q) {
 		f.config.Metrics.Counter("quarantine.refused").Inc(1)
 		a.lastErr = resultcode.Newf(resultcode.RequestQuarantined, "two targets of %q have just crashed with this request (%s), and one is left", q.service.Name, q.identity).
-			WithRetryAfter(spreadPause(pauseLastTarget, rand.Float64))
+			WithRetryAfter(pause.Spread(pauseLastTarget, rand.Float64))
 		return nil
 	}
 	d, now := f.table.demandFor(q, a.exclude), time.Now()
@@ -36,7 +37,7 @@
 	if wait, known := f.table.untilAccepted(d, now); known {
 		f.config.Metrics.Counter("forward.limit_refused").Inc(1)
 		a.lastErr = resultcode.Newf(resultcode.Overloaded, "the targets of %q accept no more requests now, by what they say in their answers", q.service.Name).
-			WithRetryAfter(spreadPause(wait, rand.Float64))
+			WithRetryAfter(pause.Spread(wait, rand.Float64))
 	}
 	return nil
 }
--- a/internal/forward/statements.go
+++ b/internal/forward/statements.go
@@ -17,9 +17,6 @@
 // that restarts has forgotten it; the others tell it which targets leave.
 
 const (
-	// maxLeaving bounds the time for which a target is believed to leave while it announces
-	// that it is ready. A faulty target can keep itself out of use for so long.
-	maxLeaving = time.Hour
 	// easeTime is the time after a quiet one over which a target gets up to its full number
 	// of requests: it looks idle to everyone at once.
 	easeTime = time.Second
@@ -56,7 +53,7 @@
 
 // isOf reports whether the statement is of the endpoint's incarnation and still counts.
 func (l LeavingStatement) isOf(e *endpoint, now time.Time) bool {
-	return !l.At.IsZero() && l.Incarnation == e.incarnation && now.Sub(l.At) < maxLeaving
+	return !l.At.IsZero() && l.Incarnation == e.incarnation && now.Sub(l.At) < statement.MaxLeaving
 }
 
 // adoptStatements takes over what the target has said if former is the same incarnation at
@@ -82,7 +79,7 @@
 // leavingExpired reports whether a target has long said that it leaves and announces that it
 // does not.
 func (s *statements) leavingExpired(target *fleet.Target, now time.Time) bool {
-	return !s.leavingAt.IsZero() && now.Sub(s.leavingAt) >= maxLeaving && target.State == fleet.Ready
+	return !s.leavingAt.IsZero() && now.Sub(s.leavingAt) >= statement.MaxLeaving && target.State == fleet.Ready
 }
 
 // availability says whether a target may get new requests.
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -9,9 +9,17 @@
 	"time"
 )
 
-// MaxQuiet bounds the time for which a target may ask for no requests. A faulty target can
+// LeavingHeader is the header by which targets of the own interface say that they leave.
+// Those of the platform have a name of their own.
+const LeavingHeader = "X-Leaving"
+
+// MaxQuiet bounds the time for which a target may ask for no requests, and MaxLeaving that
+// for which it is believed to leave while it announces that it is ready. A faulty target can
 // keep itself out of use for so long.
-const MaxQuiet = time.Hour
+const (
+	MaxQuiet   = time.Hour
+	MaxLeaving = time.Hour
+)
 
 // Leaving reports whether the values of the header say that the target leaves.
 func Leaving(values []string) bool {
