entry, owner: targets of the own interface that leave or want quiet say so in answers

A target whose answers said that it leaves got every second call, one that had asked for quiet as many as before. Change: answers of any kind (calls, generations, reads, cancellations, orders, state queries) are read where they arrive. What an incarnation said is kept by the instance (bounded: 1,024 targets, an hour) and excluded from its requests for permits by target and incarnation; a permit granted before is not used. Leaving goes on to the owner of the shard, so that no instance gets a permit; a permit from an owner that does not know it tells it again. If all targets are unwilling, the owner answers so at once and the caller gets 2003 with the time until the first may be asked. Not told to each other: quiet times, as on the platform path. An operator cannot lift a statement here; it ends after an hour, or with a restart of the target, or of the instance.

--- a/internal/entry/command/generation.go
+++ b/internal/entry/command/generation.go
@@ -156,7 +156,7 @@
 		if err := faultpoint.Hit(pointBeforeStart); err != nil {
 			return err
 		}
-		return s.checkDispatch(g.identity, g.Service, held.Permit)
+		return s.checkBeforeSend(g.identity, g.Service, held)
 	}
 	if r.chargeLink != nil {
 		r.chargeLink(len(g.Body))
@@ -171,7 +171,7 @@
 	r := &relay{
 		engine: s.engine, id: id, held: held, sink: out, counts: s.counts, latencies: s.Latencies,
 		seq:     stream.NewSequencer(id, offset, s.Timing.SilenceTimeout, time.Now()),
-		decoder: stream.NewDecoder(id),
+		decoder: stream.NewDecoder(id), onResponse: s.recordStatements(held),
 	}
 	if held != nil {
 		r.suspectIfNotSent = func(err error) { s.suspectIfNotSent(held, err) }
@@ -273,7 +273,7 @@
 
 func (s *Service) cancelAtTarget(ctx context.Context, r *relay) {
 	s.counts.cancelled.Inc(1)
-	_ = r.engine.Cancel(ctx, r.address, r.id) // ignore an error: there is nothing to cancel at an unreachable target
+	_ = r.engine.Cancel(ctx, r.address, r.id, r.onResponse) // ignore an error: there is nothing to cancel at an unreachable target
 }
 
 // readDetached reads the stream and discards its tokens until it ends, the
--- a/internal/entry/command/plain.go
+++ b/internal/entry/command/plain.go
@@ -203,10 +203,10 @@
 	ctx, cancel := context.WithTimeout(ctx, call.spec.CallTimeout())
 	defer cancel()
 	request := call.targetRequest
-	request.RequestID = stream.RandomID()
+	request.RequestID, request.OnResponse = stream.RandomID(), s.recordStatements(held)
 	began := time.Now()
 	response, err := target.Call(ctx, held.Permit.GetAddress(), request, func() error {
-		return s.checkDispatch(call.identity, call.service, held.Permit)
+		return s.checkBeforeSend(call.identity, call.service, held)
 	})
 	s.releasePermit(ctx, held, s.plainReleaseReason(held, response, err))
 	s.suspectIfNotSent(held, err)
--- a/internal/entry/command/relay.go
+++ b/internal/entry/command/relay.go
@@ -58,6 +58,7 @@
 	beforeDispatch   func() error // check right before the dispatch; if it fails, nothing is sent
 	chargeLink       func(n int)  // charges bytes to the cross-region link; nil if the target is in this instance's region
 	suspectIfNotSent func(error)  // marks a target to which nothing could be sent as suspect; may be nil
+	onResponse       target.ResponseFunc
 	counts           *counters
 	// request is the caller's generation request and startedAt its arrival time. Both
 	// are unset when a generation is resumed.
@@ -218,7 +219,7 @@
 // it from where the sequencer can check that it is the same run.
 func (r *relay) connect(ctx context.Context) inputEvent {
 	r.seq.Connected(time.Now())
-	hooks := target.Hooks{OnIdle: r.onIdle}
+	hooks := target.Hooks{OnIdle: r.onIdle, OnResponse: r.onResponse}
 	var err error
 	if r.connDispatches() {
 		hooks.BeforeSend = r.beforeDispatch
--- a/internal/entry/command/service.go
+++ b/internal/entry/command/service.go
@@ -112,6 +112,8 @@
 	plain, hedged, crossed, writes, replayed          tally.Counter
 	unknownOutcomes, announcements, violations        tally.Counter
 	refusedStale, refusedDomain, announcementsRefused tally.Counter
+	leavingStated, leavingUntold                      tally.Counter
+	quietStated, quietMalformed                       tally.Counter
 }
 
 func newCounters(scope tally.Scope) *counters {
@@ -124,6 +126,8 @@
 		unknownOutcomes: c("unknown_outcomes"), announcements: c("announcements"),
 		violations: c("invariant_violations"), refusedStale: c("refused_stale"),
 		refusedDomain: c("refused_domain"), announcementsRefused: c("announcements_refused"),
+		leavingStated: c("leaving_stated"), leavingUntold: c("leaving_untold"),
+		quietStated: c("quiet_stated"), quietMalformed: c("quiet_malformed"),
 	}
 }
 
@@ -157,6 +161,14 @@
 	return identity, releaseSlot, nil
 }
 
+// checkBeforeSend checks right before a dispatch that the permit may be used.
+func (s *Service) checkBeforeSend(identity *access.Identity, service string, held *permit.HeldPermit) error {
+	if err := s.checkStatements(held); err != nil {
+		return err
+	}
+	return s.checkDispatch(identity, service, held.Permit)
+}
+
 // checkDispatch is the last check before a dispatch. It returns an error unless the
 // current settings allow the account to call the service and the target to receive
 // new work, and a valid freshness lease proves that these settings are current.
--- a/internal/entry/command/write.go
+++ b/internal/entry/command/write.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/entry/permit"
 	"github.com/endivetrack/endivetrack/internal/entry/reply"
 	"github.com/endivetrack/endivetrack/internal/entry/target"
 	"github.com/endivetrack/endivetrack/internal/faultpoint"
@@ -165,7 +166,7 @@
 			return nil, s.abortWrite(ctx, call, attempt, resultcode.From(err))
 		}
 		// From here on the response must be stored even if the caller disconnects.
-		response, err := s.dispatchWrite(context.WithoutCancel(ctx), call, req.RequestID, held.Permit, func(a *target.Response, err error) {
+		response, err := s.dispatchWrite(context.WithoutCancel(ctx), call, req.RequestID, held, func(a *target.Response, err error) {
 			s.releasePermit(ctx, held, s.plainReleaseReason(held, a, err))
 			s.suspectIfNotSent(held, err)
 		})
@@ -194,7 +195,7 @@
 
 // dispatchWrite sends the write to the permit's target. onEnd is called with the
 // outcome of the call before dispatchWrite returns.
-func (s *Service) dispatchWrite(ctx context.Context, call *plainCall, requestID string, p *api.Permit, onEnd func(*target.Response, error)) (*target.Response, error) {
+func (s *Service) dispatchWrite(ctx context.Context, call *plainCall, requestID string, held *permit.HeldPermit, onEnd func(*target.Response, error)) (*target.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.spec.CallTimeout())
 	defer cancel()
 	if call.sent {
@@ -204,12 +205,12 @@
 		return nil, err
 	}
 	request := call.targetRequest
-	request.RequestID, request.SkipCrossed = requestID, true
-	response, err := target.Call(ctx, p.GetAddress(), request, func() error {
+	request.RequestID, request.SkipCrossed, request.OnResponse = requestID, true, s.recordStatements(held)
+	response, err := target.Call(ctx, held.Permit.GetAddress(), request, func() error {
 		if err := faultpoint.Hit(PointBeforeSend); err != nil {
 			return err
 		}
-		return s.checkDispatch(call.identity, call.service, p)
+		return s.checkBeforeSend(call.identity, call.service, held)
 	})
 	call.sent = !isNotSentError(err)
 	onEnd(response, err)
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -152,6 +152,7 @@
 	releases   []*api.ReleaseRequest
 	reports    []*api.ReportRequest
 	announces  []*api.AnnounceRequest
+	leaving    []*api.RecordLeavingRequest
 	transfers  int
 }
 
@@ -173,11 +174,11 @@
 		}
 	}
 	for _, p := range f.targets {
-		if !contains(r.GetExcludeTargets(), p.GetTarget()) && strings.HasPrefix(p.GetTarget(), r.GetShard().GetService()) {
+		if !contains(r.GetExcludeTargets(), p.GetTarget()) && !excludes(r, p) && strings.HasPrefix(p.GetTarget(), r.GetShard().GetService()) {
 			f.grantCount++
 			granted := &api.Permit{
 				Id: fmt.Sprintf("p1.%d", f.grantCount), Target: p.GetTarget(), Address: p.GetAddress(),
-				FailureDomain: p.GetFailureDomain(), Epoch: 1,
+				FailureDomain: p.GetFailureDomain(), Epoch: 1, Incarnation: p.GetIncarnation(),
 			}
 			f.granted[granted.GetId()] = r.GetHolderSession()
 			return &api.AcquireResponse{Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_GRANTED, Permit: granted}, nil
@@ -186,6 +187,16 @@
 	return &api.AcquireResponse{Outcome: api.AcquireOutcome_ACQUIRE_OUTCOME_NO_TARGET}, nil
 }
 
+// excludes reports whether the request excludes the incarnation of the permit's target.
+func excludes(r *api.AcquireRequest, p *api.Permit) bool {
+	for _, x := range r.GetExcludeIncarnations() {
+		if x.GetTarget() == p.GetTarget() && x.GetIncarnation() == p.GetIncarnation() {
+			return true
+		}
+	}
+	return false
+}
+
 func contains(list []string, s string) bool {
 	for _, x := range list {
 		if x == s {
@@ -244,6 +255,13 @@
 	return &api.AnnounceResponse{}, nil
 }
 
+func (f *fakeOwner) RecordLeaving(_ context.Context, r *api.RecordLeavingRequest) (*api.RecordLeavingResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = append(f.leaving, r)
+	return &api.RecordLeavingResponse{}, nil
+}
+
 func (f *fakeOwner) ShardStatus(context.Context, *api.ShardStatusRequest) (*api.ShardStatusResponse, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -485,7 +503,7 @@
 func (b *harness) addTarget(name, address string) {
 	b.owner.mu.Lock()
 	defer b.owner.mu.Unlock()
-	b.owner.targets = append(b.owner.targets, &api.Permit{Target: name, Address: address, FailureDomain: "a"})
+	b.owner.targets = append(b.owner.targets, &api.Permit{Target: name, Address: address, FailureDomain: "a", Incarnation: "1"})
 }
 
 type response struct {
--- a/internal/entry/permit/acquire.go
+++ b/internal/entry/permit/acquire.go
@@ -49,7 +49,9 @@
 	queueSlices       tally.Counter
 	otherRegionGrants tally.Counter
 
-	suspects suspects
+	suspects avoidedTargets // by target
+	leaving  avoidedTargets // by incarnation
+	quiet    avoidedTargets // by incarnation
 }
 
 // NewAcquirer returns an acquirer that adds granted permits to registry.
@@ -100,8 +102,10 @@
 			continue // probe again: the request has waited for one queue slice
 		case r.overloadedShards > 0:
 			return nil, resultcode.Newf(resultcode.Overloaded, "the queues of service %q are full", req.Service).WithRetryAfter(max(r.retryAfter, a.timing.RecheckInterval))
-		case r.noOwnerShards == 0 && time.Since(req.Started) >= a.timing.NoTargetGrace:
-			return nil, noTargetError(req)
+		case r.noOwnerShards == 0:
+			if err := a.noTargetError(req, time.Now()); err != nil {
+				return nil, err
+			}
 		}
 		a.waitForChange(ctx, changed, min(remaining, a.timing.RecheckInterval))
 	}
@@ -122,7 +126,15 @@
 	return resultcode.Newf(resultcode.NoFreshLease, "no fresh state from the control group").WithRetryAfter(time.Second)
 }
 
-func noTargetError(req Requirements) error {
+// noTargetError returns the refusal of a request for which the owners know no target; nil
+// while one may still announce itself to a new owner.
+func (a *Acquirer) noTargetError(req Requirements, now time.Time) error {
+	if err := a.allQuietError(req, now); err != nil {
+		return err
+	}
+	if now.Sub(req.Started) < a.timing.NoTargetGrace {
+		return nil
+	}
 	return resultcode.Newf(resultcode.NoTarget, "no target of service %q can accept this request", req.Service).WithRetryAfter(time.Second)
 }
 
@@ -244,10 +256,11 @@
 	now := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait+a.timing.CallTimeout)
 	defer cancel()
+	excluded := a.targetsToExclude(req, now)
 	response, err := owner.Command.Acquire(callCtx, &api.AcquireRequest{
 		Shard: key.Proto(), HolderSession: a.source.SessionID(), RequestId: req.RequestID, Request: req.Request,
 		WaitMs: uint32(wait.Milliseconds()), WaitedMs: uint32(now.Sub(req.Started).Milliseconds()),
-		ExcludeTargets: a.suspects.targetsToExclude(req, now),
+		ExcludeTargets: excluded, ExcludeIncarnations: a.incarnationsToExclude(req, len(excluded), now),
 	})
 	if err != nil {
 		r.countUnreachable(req, key)
--- a/internal/entry/target/engine.go
+++ b/internal/entry/target/engine.go
@@ -50,11 +50,16 @@
 // Unwrap returns Err.
 func (e *NotSentError) Unwrap() error { return e.Err }
 
+// ResponseFunc gets what a target says in the status and header of a response.
+type ResponseFunc func(status int, header http.Header)
+
 // Hooks are callbacks that run in the goroutine that opens and reads a stream.
 type Hooks struct {
 	// BeforeSend runs when the connection is open, right before the first byte is
 	// sent. If it returns an error, nothing is sent. May be nil.
 	BeforeSend func() error
+	// OnResponse gets the status and header of a response, before its body. May be nil.
+	OnResponse ResponseFunc
 	// OnIdle runs after each Engine.TickInterval without input; if it fails, so does the read.
 	OnIdle func() error
 }
@@ -70,6 +75,12 @@
 // reach a caller whose stream has begun.
 func (e *StatusError) Error() string { return fmt.Sprintf("target responded with %d", e.Status) }
 
+func (f ResponseFunc) call(r *http.Response) {
+	if f != nil {
+		f(r.StatusCode, r.Header)
+	}
+}
+
 // Engine opens token streams and cancels generations. TickInterval must be set.
 type Engine struct {
 	// TickInterval is the interval at which blocked reads call Hooks.OnIdle.
@@ -114,8 +125,9 @@
 	return e.openStream(ctx, address, r, hooks, func() {})
 }
 
-// Cancel cancels a generation within cancelTimeout, even if ctx has ended.
-func (e Engine) Cancel(ctx context.Context, address, id string) error {
+// Cancel cancels a generation within cancelTimeout, even if ctx has ended. onResponse may be
+// nil.
+func (e Engine) Cancel(ctx context.Context, address, id string, onResponse ResponseFunc) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	defer cancel()
 	r, err := newRequest(http.MethodDelete, address, "/v1/generations/"+url.PathEscape(id), nil)
@@ -139,6 +151,7 @@
 		return err
 	}
 	_ = response.Body.Close()
+	onResponse.call(response)
 	if response.StatusCode/100 != 2 {
 		return &StatusError{Status: response.StatusCode}
 	}
@@ -198,6 +211,7 @@
 		_ = c.Close()
 		return nil, err
 	}
+	hooks.OnResponse.call(response)
 	if response.StatusCode != http.StatusOK {
 		defer c.Close()
 		data, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes)) // ignore an error: a partial message is better than none
--- a/internal/entry/target/plain.go
+++ b/internal/entry/target/plain.go
@@ -44,6 +44,8 @@
 	// SkipCrossed makes Call skip responses to other requests and wait briefly for the
 	// matching one. Only for calls that cannot be retried; for others a retry is better.
 	SkipCrossed bool
+	// OnResponse gets the status and header of the response to this request. May be nil.
+	OnResponse ResponseFunc
 }
 
 // Response is the complete response to a call.
@@ -128,10 +130,13 @@
 			return nil, fmt.Errorf("read the target's response: %w", err)
 		}
 		limited.EndHead()
-		body, err := io.ReadAll(io.LimitReader(response.Body, q.MaxResponseBytes+1))
 		// A response with several IDs may belong to any of these requests.
 		ids := response.Header.Values(RequestIDHeader)
 		matches := len(ids) == 1 && ids[0] == q.RequestID
+		if matches && response.StatusCode >= http.StatusOK {
+			q.OnResponse.call(response)
+		}
+		body, err := io.ReadAll(io.LimitReader(response.Body, q.MaxResponseBytes+1))
 		switch {
 		case err != nil:
 			return nil, fmt.Errorf("read the target's response: %w", err)
--- a/internal/owner/command.go
+++ b/internal/owner/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/endivetrack/endivetrack/api"
@@ -26,8 +27,8 @@
 // refusal. It fails if the request is malformed, or if ctx ends before the
 // decision.
 func (o *Owner) Acquire(ctx context.Context, r *api.AcquireRequest) (*api.AcquireResponse, error) {
-	if len(r.GetExcludeTargets()) > maxExcludedTargets || r.GetHolderSession() == 0 {
-		return nil, resultcode.ToTwirp(resultcode.Newf(resultcode.MessageMalformed, "acquire: holder %d, %d excluded targets", r.GetHolderSession(), len(r.GetExcludeTargets())))
+	if excluded := len(r.GetExcludeTargets()) + len(r.GetExcludeIncarnations()); excluded > maxExcludedTargets || r.GetHolderSession() == 0 {
+		return nil, resultcode.ToTwirp(resultcode.Newf(resultcode.MessageMalformed, "acquire: holder %d, %d excluded targets", r.GetHolderSession(), excluded))
 	}
 	ticket, w, refusal := o.enqueueRequest(r)
 	if refusal != nil {
@@ -58,8 +59,9 @@
 	if class == nil {
 		class = &api.RequestClass{}
 	}
+	unwilling := sh.state.CurrentTargets(r.GetExcludeIncarnations())
 	ticket, outcome := sh.state.Enqueue(scheduler.Request{
-		Holder: r.GetHolderSession(), Class: class, Exclude: r.GetExcludeTargets(),
+		Holder: r.GetHolderSession(), Class: class, Exclude: slices.Concat(r.GetExcludeTargets(), unwilling), Unwilling: unwilling,
 		Arrived: now.Add(-priorWait), Until: now.Add(wait),
 	}, now)
 	if outcome != api.AcquireOutcome_ACQUIRE_OUTCOME_UNSPECIFIED {
@@ -176,6 +178,20 @@
 	return &api.AnnounceResponse{}, nil
 }
 
+// RecordLeaving records that a target said in an answer that it leaves.
+func (o *Owner) RecordLeaving(_ context.Context, r *api.RecordLeavingRequest) (*api.RecordLeavingResponse, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	sh := o.ownedShard(session.KeyOf(r.GetShard()))
+	if sh == nil {
+		return &api.RecordLeavingResponse{NotOwner: true}, nil
+	}
+	now := o.cfg.Clock.Now()
+	sh.state.RecordLeaving(r.GetTarget(), now)
+	o.schedule(sh, now)
+	return &api.RecordLeavingResponse{}, nil
+}
+
 func notOwnerError(shard *api.Shard) error {
 	return resultcode.ToTwirp(resultcode.Newf(resultcode.NoOwner, "shard %s is not owned by this instance", session.KeyOf(shard)))
 }
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -19,6 +19,7 @@
 	"github.com/endivetrack/endivetrack/internal/netconn"
 	"github.com/endivetrack/endivetrack/internal/session"
 	"github.com/endivetrack/endivetrack/internal/settings"
+	"github.com/endivetrack/endivetrack/internal/statement"
 )
 
 // Timing and size limits of orders to targets.
@@ -123,7 +124,7 @@
 func (o *Owner) loadModel(sh *shard, a *api.Announcement, model string) error {
 	ctx, cancel := context.WithTimeout(sh.ctx, orderTimeout)
 	defer cancel()
-	reported, err := o.readTargetState(ctx, a)
+	reported, err := o.readTargetState(ctx, sh, a)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -142,7 +143,7 @@
 	if err := o.sendOrder(ctx, sh, a, order{OrderID: orderID(sh, a.GetTarget(), model), Kind: orderLoadModel, Value: model, Fencing: sh.epoch}); err != nil {
 		return trace.Wrap(err)
 	}
-	if reported, err = o.readTargetState(ctx, a); err != nil {
+	if reported, err = o.readTargetState(ctx, sh, a); err != nil {
 		return trace.Wrap(err)
 	}
 	if !slices.Contains(reported.Models, model) {
@@ -192,14 +193,26 @@
 		return err
 	}
 	defer resp.Body.Close()
+	o.recordStatement(sh, a, resp)
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("target %s answered the order with status %d", a.GetTarget(), resp.StatusCode)
 	}
 	return nil
 }
 
-// readTargetState queries the state of a target.
-func (o *Owner) readTargetState(ctx context.Context, a *api.Announcement) (*targetState, error) {
+// recordStatement records whether a target says in a response that it leaves, and returns that.
+func (o *Owner) recordStatement(sh *shard, a *api.Announcement, resp *http.Response) (leaves bool) {
+	if resp.StatusCode == http.StatusMisdirectedRequest || !statement.Leaving(resp.Header.Values(statement.LeavingHeader)) {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	sh.state.RecordLeaving(&api.TargetIncarnation{Target: a.GetTarget(), Incarnation: a.GetIncarnation()}, o.cfg.Clock.Now())
+	return true
+}
+
+// readTargetState queries the state of a target. It fails if the target leaves.
+func (o *Owner) readTargetState(ctx context.Context, sh *shard, a *api.Announcement) (*targetState, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateReadTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.GetAddress()+"/v1/state", nil)
@@ -211,6 +224,9 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	if o.recordStatement(sh, a, resp) {
+		return nil, fmt.Errorf("target %s says that it leaves", a.GetTarget())
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("target %s answered the state query with status %d", a.GetTarget(), resp.StatusCode)
 	}
--- a/internal/owner/orders_test.go
+++ b/internal/owner/orders_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/session"
+	"github.com/endivetrack/endivetrack/internal/statement"
 )
 
 // fakeControl is a control group with a fixed number of load slots.
@@ -46,11 +47,15 @@
 	mu     sync.Mutex
 	models []string
 	orders []order
+	leaves bool // it says so in its answers
 }
 
 func (e *fakeOrderTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.leaves {
+		w.Header().Set(statement.LeavingHeader, "1")
+	}
 	if r.Method == http.MethodPost {
 		var o order
 		_ = json.NewDecoder(r.Body).Decode(&o)
@@ -102,6 +107,20 @@
 	assert.Equal(t, len(target.orders), 0)
 }
 
+// Guards against an order to a target that says in its answers that it leaves, and against
+// permits for it.
+func TestTargetThatSaysItLeavesGetsNoOrder(t *testing.T) {
+	f, target, _ := newOrderFixture(t, 0, true)
+	targets := f.shards[session.KeyOf(f.shard)].state.Targets
+	address := targets(f.clock.Now())[0].GetAddress()
+	target.leaves = true
+	f.cfg.Control.(*fakeControl).slots = 1
+	f.advance(orderRetryDelay)
+	f.announceAndAwaitOrders("http://"+address, true)
+	assert.Equal(t, len(target.orders), 0)
+	assert.Equal(t, len(targets(f.clock.Now())), 0)
+}
+
 // Guards against a new owner's order that a target without fencing checks
 // executes before a delayed order from the former owner.
 // Mutation that this test detects: startOrders does not wait.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -229,6 +229,27 @@
 	assert.Assert(t, !f.release(permits[0]), "a permit can be released once")
 }
 
+// Guards against permits for incarnations that have asked the holder for no requests or said
+// to any instance that they leave, and against none for the next ones.
+func TestStatementsConcernOneIncarnation(t *testing.T) {
+	f := newFixture(t)
+	f.announce("e1")
+	acquire := func(incarnation string) api.AcquireOutcome {
+		r, err := f.Acquire(context.Background(), &api.AcquireRequest{
+			Shard: f.shard, HolderSession: holder, Request: &api.RequestClass{Account: "a", Model: "m", Class: "c", PromptTokens: 10, MaxTokens: 100},
+			ExcludeIncarnations: []*api.TargetIncarnation{{Target: "e1", Incarnation: incarnation}, {Target: "e2", Incarnation: "i1"}},
+		})
+		assert.NilError(t, err)
+		return r.GetOutcome()
+	}
+	assert.Equal(t, acquire("i0"), granted)
+	assert.Equal(t, acquire("i1"), api.AcquireOutcome_ACQUIRE_OUTCOME_NO_TARGET)
+	_, err := f.RecordLeaving(context.Background(), &api.RecordLeavingRequest{Shard: f.shard, Target: &api.TargetIncarnation{Target: "e1", Incarnation: "i1"}})
+	assert.NilError(t, err)
+	f.announce("e1")
+	assert.Equal(t, acquire("i0"), api.AcquireOutcome_ACQUIRE_OUTCOME_FULL, "it leaves; another one may come")
+}
+
 // Guards against grants after the freshness lease has expired.
 // Mutation that this test detects: mayStartWork ignores Fresh.
 func TestNoGrantWithoutFreshLease(t *testing.T) {
--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -97,7 +97,7 @@
 
 func (s *Shard) permitProto(p *permit) *api.Permit {
 	a := p.target.announcement
-	return &api.Permit{Id: p.id, Target: p.target.name, Address: a.GetAddress(), FailureDomain: a.GetFailureDomain(), Epoch: s.epoch}
+	return &api.Permit{Id: p.id, Target: p.target.name, Address: a.GetAddress(), FailureDomain: a.GetFailureDomain(), Epoch: s.epoch, Incarnation: a.GetIncarnation()}
 }
 
 // Release ends the permit named in final. It returns false if the holder's
@@ -249,6 +249,9 @@
 		if state := s.stateOf(t, now); state != t.state {
 			changes = append(changes, TargetStateChange{t.name, t.state, state})
 			t.state = state
+			if s.acceptsWork(t, now) {
+				s.markFreed(t)
+			}
 		}
 	}
 	return changes
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -5,6 +5,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endivetrack/endivetrack/api"
@@ -19,8 +20,11 @@
 	Holder  uint64 // session id of the instance that serves the caller
 	Class   *api.RequestClass
 	Exclude []string
-	Arrived time.Time // when the caller's request first arrived, possibly at an earlier owner
-	Until   time.Time // when the holder stops waiting for a permit
+	// Unwilling holds those of them that have told the holder that they leave or want no
+	// requests.
+	Unwilling []string
+	Arrived   time.Time // when the caller's request first arrived, possibly at an earlier owner
+	Until     time.Time // when the holder stops waiting for a permit
 }
 
 // Ticket identifies a waiting request within its shard; 0 is never used.
@@ -125,10 +129,10 @@
 }
 
 // Enqueue adds a request to the queue and returns its ticket with the outcome
-// UNSPECIFIED. Any other outcome refuses the request: NO_TARGET if no announced
-// target serves it, OVERLOADED if the queue is full.
+// UNSPECIFIED. Any other outcome refuses the request: NO_TARGET if no target
+// serves it, as hasTargetFor tells, OVERLOADED if the queue is full.
 func (s *Shard) Enqueue(r Request, now time.Time) (Ticket, api.AcquireOutcome) {
-	if !s.hasTargetFor(r) {
+	if !s.hasTargetFor(r, now) {
 		return 0, api.AcquireOutcome_ACQUIRE_OUTCOME_NO_TARGET
 	}
 	if s.queue.Len() >= s.team.Policy.QueueLimit {
@@ -157,11 +161,16 @@
 	return s.lastTicket, api.AcquireOutcome_ACQUIRE_OUTCOME_UNSPECIFIED
 }
 
-// hasTargetFor reports whether any announced target serves the request's model.
-func (s *Shard) hasTargetFor(r Request) bool {
+// hasTargetFor reports whether any announced target serves the request's model. If some have
+// told the holder that they want no requests, only one that accepts work besides them counts:
+// waiting is of no use before their time is over.
+func (s *Shard) hasTargetFor(r Request, now time.Time) bool {
 	for _, t := range s.targets {
 		c := routing.Candidate{Models: t.announcement.GetModels()}
-		if t.announcement != nil && (routing.ServesModel{}).Keep(s.routingRequest(r, time.Time{}), &c) {
+		if t.announcement == nil || !(routing.ServesModel{}).Keep(s.routingRequest(r, time.Time{}), &c) {
+			continue
+		}
+		if len(r.Unwilling) == 0 || (s.acceptsWork(t, now) && !slices.Contains(r.Unwilling, t.name)) {
 			return true
 		}
 	}
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -10,6 +10,7 @@
 	"github.com/endivetrack/endivetrack/api"
 	"github.com/endivetrack/endivetrack/internal/admission"
 	"github.com/endivetrack/endivetrack/internal/routing"
+	"github.com/endivetrack/endivetrack/internal/statement"
 )
 
 const (
@@ -44,7 +45,7 @@
 	TargetUnknown TargetState = ""        // no announcement yet
 	TargetCold    TargetState = "cold"    // its limit is raised gradually after a cold start (ramp)
 	TargetWarm    TargetState = "warm"    // it runs requests up to its learned limit
-	TargetLeaving TargetState = "leaving" // it has announced that it accepts no new work
+	TargetLeaving TargetState = "leaving" // it has announced, or said in an answer, that it accepts no new work
 	TargetSilent  TargetState = "silent"  // its last announcement is older than routing.TargetLease
 )
 
@@ -61,7 +62,7 @@
 		return TargetUnknown
 	case now.Sub(t.lastAnnounced) > routing.TargetLease:
 		return TargetSilent
-	case t.announcement.GetLeaving():
+	case t.isLeaving(now):
 		return TargetLeaving
 	case !s.isPlainService() && t.limit.Cold():
 		return TargetCold
@@ -74,6 +75,7 @@
 type target struct {
 	name           string
 	announcement   *api.Announcement // latest announcement; nil before the first one
+	saidLeaving    leavingStatement
 	lastAnnounced  time.Time
 	firstAnnounced time.Time // time of the first announcement
 	permits        map[string]*permit
@@ -95,6 +97,43 @@
 	intervalStart time.Time        // start of the current control interval
 }
 
+// leavingStatement is what an incarnation of a target said of itself in an answer, and when
+// the first instance heard it.
+type leavingStatement struct {
+	incarnation string // empty: none
+	at          time.Time
+}
+
+// RecordLeaving records that an incarnation of a target said in an answer that it leaves. It
+// gets no new work from then on, whatever its announcements say, until its next incarnation
+// or until statement.MaxLeaving has passed.
+func (s *Shard) RecordLeaving(i *api.TargetIncarnation, now time.Time) {
+	t, incarnation := s.targets[i.GetTarget()], i.GetIncarnation()
+	if t == nil || incarnation == "" || t.announcement.GetIncarnation() != incarnation || t.saidLeaving.incarnation == incarnation {
+		return
+	}
+	t.saidLeaving = leavingStatement{incarnation, now}
+}
+
+// CurrentTargets returns the names of those targets whose present incarnation is listed.
+func (s *Shard) CurrentTargets(incarnations []*api.TargetIncarnation) []string {
+	var names []string
+	for _, i := range incarnations {
+		if t := s.targets[i.GetTarget()]; t != nil && t.announcement.GetIncarnation() == i.GetIncarnation() {
+			names = append(names, t.name)
+		}
+	}
+	return names
+}
+
+// isLeaving reports whether the target's incarnation has announced that it leaves, or said
+// so in an answer.
+func (t *target) isLeaving(now time.Time) bool {
+	a := t.announcement
+	said := t.saidLeaving.incarnation != "" && t.saidLeaving.incarnation == a.GetIncarnation() && now.Sub(t.saidLeaving.at) < statement.MaxLeaving
+	return a.GetLeaving() || said
+}
+
 // Announce updates the target's record from its announcement. A new incarnation
 // restarts the cold start ramp and clears the record of cached prefixes. An incarnation that
 // leaves does not return: an announcement which says so was sent earlier and arrives late.
@@ -161,7 +200,7 @@
 		FailureDomain: a.GetFailureDomain(),
 		Models:        a.GetModels(),
 		LastAnnounced: t.lastAnnounced,
-		Leaving:       a.GetLeaving(),
+		Leaving:       t.isLeaving(now),
 		Drained:       slices.Contains(s.service.DrainedTargets, t.name),
 		InService:     s.team.FailureDomainInService(a.GetFailureDomain()),
 		InFlight:      s.inFlight(t, now),
@@ -254,7 +293,7 @@
 // acceptsWork reports whether the target's lease is valid and it accepts new
 // work.
 func (s *Shard) acceptsWork(t *target, now time.Time) bool {
-	return t.announcement != nil && now.Sub(t.lastAnnounced) <= routing.TargetLease && !t.announcement.GetLeaving()
+	return t.announcement != nil && now.Sub(t.lastAnnounced) <= routing.TargetLease && !t.isLeaving(now)
 }
 
 // adjustLimit adjusts the target's limit and risk margin if its control interval
@@ -295,7 +334,7 @@
 		s.refreshForecast(t, now)
 		out = append(out, &api.TargetStatus{
 			Name: name, Address: a.GetAddress(), FailureDomain: a.GetFailureDomain(),
-			Cold: !s.isPlainService() && t.limit.Cold(), Leaving: a.GetLeaving(), InService: s.team.FailureDomainInService(a.GetFailureDomain()),
+			Cold: !s.isPlainService() && t.limit.Cold(), Leaving: t.isLeaving(now), InService: s.team.FailureDomainInService(a.GetFailureDomain()),
 			InFlight: uint32(len(t.permits)), Limit: uint32(s.allowedRequests(t, now)),
 			PredictedTokens: uint32(t.forecast.Peak(t.margin.Value())),
 			MemoryTokens:    a.GetMemoryTokens(), PreemptionsTotal: a.GetPreemptionsTotal(),
