--- a/internal/forward/statements_test.go
+++ b/internal/forward/statements_test.go
@@ -222,6 +222,21 @@
 	assert.Equal(t, served, sent)
 }
 
+// Instances do not tell each other quiet times. Guards against a price for that beyond one
+// refused request of each, which another target serves.
+func TestQuietTimeCostsEachInstanceOneRequest(t *testing.T) {
+	t.Parallel()
+	const instanceCount = 6
+	x := newFakeTarget(t, "i1", says(503, "Retry-After: 30\r\nT-Not-Run: 1\r\n"))
+	y := newFakeTarget(t, "i2", respondsWith(200, ""))
+	instances := newInstances(t, instanceCount, "core", x, y)
+	sent, served := playRequests(t, instances, 5*time.Millisecond, time.Second)
+	assert.Equal(t, served, sent)
+	refused := len(x.seen())
+	t.Logf("%d of %d requests refused", refused, sent)
+	assert.Assert(t, refused <= instanceCount, "%d requests refused", refused)
+}
+
 // A longer time is not replaced by a shorter one, and a success does not end it.
 func TestLongestQuietTimeCounts(t *testing.T) {
 	x := newFakeTarget(t, "i1", respondsWith(200, ""))
