forward: a stream begins only at a version that the group has agreed on

Callers could get the rest of a stream from another version than its beginning: a target of a new version announced itself in a cut-off failure domain, a stream began there, and the caller took it up on the other side, where a majority of the control instances answered and knew one version. Cause: versions are replicated state, so that a majority knows all of them, but targets were used before theirs was in it. Why it works: a take-up that finds no record is continued only if a majority names one version; a version at which a stream began is in the replicated state, which each majority holds.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -52,6 +52,8 @@
 
 	serving  map[string]bool     // names of the services with a usable target
 	versions map[string][]string // software versions by service
+	// settled holds the versions of the replicated state by service; nil if that is full.
+	settled map[string][]string
 }
 
 // EntryCount returns the number of entry instances that share the targets, at
@@ -73,6 +75,13 @@
 	return v.versions[service]
 }
 
+// StreamVersions returns the versions at which a stream of a service may begin that a caller
+// may take up elsewhere; nil if any. They are those that the group has agreed on: whoever asks
+// a majority of the control instances hears of them, also one that is cut off from the targets
+// here. While none is, the service is new; if the state has no room for more, it tells everyone
+// of several versions.
+func (v *View) StreamVersions(service string) []string { return v.settled[service] }
+
 // ViewStore holds the newest View and merges responses from control instances into
 // it. It ignores replicated state that is not newer than the view's.
 type ViewStore struct {
@@ -176,7 +185,14 @@
 			next.serving[t.Service] = true
 		}
 	}
+	next.settled = nil
+	if len(next.stateVersions) < maxVersions {
+		next.settled = map[string][]string{}
+	}
 	for _, v := range next.stateVersions {
+		if next.settled != nil {
+			next.settled[v.Service] = append(next.settled[v.Service], v.Version)
+		}
 		if known := next.versions[v.Service]; !slices.Contains(known, v.Version) {
 			next.versions[v.Service] = append(known, v.Version)
 		}
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -60,6 +60,8 @@
 	exclude []*endpoint
 	// version is the software version that must serve the request; nil if any may.
 	version *string
+	// streamVersions are the versions at which a stream may begin; nil if any.
+	streamVersions []string
 	// isMove is set for a run whose memory is copied to the new endpoint.
 	// Engines whose memory the run would fill are excluded. Engines of other
 	// regions are excluded too: one copy would block the narrow link between
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -177,6 +177,9 @@
 func (t *table) acquireLease(d *demand, now time.Time) *lease {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if d.q.route.Resumable && d.version == nil {
+		d.streamVersions = t.view.StreamVersions(d.q.service.Name)
+	}
 	candidates := t.candidates(d, now)
 	for len(candidates) > 0 {
 		considered := candidates
@@ -233,6 +236,9 @@
 	if d.version != nil && e.version != *d.version {
 		return false
 	}
+	if d.streamVersions != nil && !slices.Contains(d.streamVersions, e.version) {
+		return false
+	}
 	if !regionAllowed(d.q, e.region) || (e.conns >= connLimit && len(e.idle) == 0) {
 		return false
 	}
--- a/internal/forward/version_test.go
+++ b/internal/forward/version_test.go
@@ -54,6 +54,42 @@
 	assert.Equal(t, len(m.y.seen()), 1)
 }
 
+// agreeOn puts versions of the service in the replicated state, as the control group does.
+func (f *fixture) agreeOn(index uint64, versions ...string) {
+	state := &fleet.State{Index: index}
+	for _, v := range versions {
+		state.Versions = append(state.Versions, fleet.ServiceVersion{Service: "llm", Version: v})
+	}
+	f.views.Merge(state, nil)
+	f.syncTargets()
+}
+
+// Guards against a stream that begins at a version which only a cut-off control instance has
+// heard of: an instance on the other side, which reaches a majority, would take its own version
+// for the only one and continue the stream there.
+func TestStreamsBeginAtVersionsThatTheGroupHasAgreedOn(t *testing.T) {
+	x, y := newFakeTarget(t, "i1", streamsEvents(9, 0)), newFakeTarget(t, "i2", streamsEvents(9, 0))
+	f := newFixture(t, "llm")
+	begin := func(path string) int {
+		resp, _, err := f.call(t, "POST", path, "")
+		assert.NilError(t, err)
+		return resp.StatusCode
+	}
+	f.announceVersion(t, x, "v1", fleet.Ready)
+	assert.Equal(t, begin("/short/"), http.StatusOK, "a new service's first version")
+	f.agreeOn(1, "v1")
+	f.announceVersion(t, y, "v2", fleet.Ready)
+	for range takeUps {
+		assert.Equal(t, begin("/short/"), http.StatusOK)
+	}
+	assert.Equal(t, len(y.seen()), 0)
+	f.announceVersion(t, x, "v1", fleet.Draining)
+	assert.Equal(t, begin("/short/"), http.StatusServiceUnavailable)
+	assert.Equal(t, begin("/long/"), http.StatusOK, "no caller takes it up")
+	f.agreeOn(2, "v1", "v2")
+	assert.Equal(t, begin("/short/"), http.StatusOK)
+}
+
 // cutsWhen returns a function that sends three events, waits until ready is closed and
 // breaks off within the fourth.
 func cutsWhen(ready <-chan struct{}) func(seenRequest, net.Conn) {
