fleet: a withdrawal that names no incarnation concerns the one that it was of

Callers could get: a sound target out of use until its next restart, and requests at one that had left (postmortem: three ways). Cause: a control instance that does not know the target passes the withdrawal on as it is; receivers apply it to whatever incarnation they know when it arrives, and a second one there passed for a repetition. Evidence: TestLateWithdrawalDoesNotConcernTheNextIncarnation failed before at both of its ends (state 3 in place of 1; 1 in place of 3). Why it works: the age of the withdrawal orders it against the first time that the incarnation was heard of, on the receiver's own clock.

--- a/internal/fleet/announce.go
+++ b/internal/fleet/announce.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/endivetrack/endivetrack/api"
+	"github.com/endivetrack/endivetrack/internal/age"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 )
 
@@ -38,7 +39,7 @@
 	}
 	s.versions.seen(a.Service, a.Version)
 	if a.State.isLeaving() {
-		relayResult := s.relayAnnouncement(a)
+		relayResult := s.relayAnnouncement(s.registry.resolve(a))
 		return s.awaitWatchers(ctx, number, relayResult)
 	}
 	if s.watchers.Progress(0).live == 0 && !s.groupHasLeader() && s.now().After(s.started.Add(startupGrace)) {
@@ -140,6 +141,7 @@
 	return &api.FleetAnnouncement{
 		Id: a.ID, Service: a.Service, Address: a.Address, FailureDomain: a.FailureDomain, Born: a.Incarnation,
 		Sequence: a.Sequence, Slots: uint32(a.Slots), State: statesToProto[a.State], ColdMs: uint32(a.ColdRemaining.Milliseconds()), Version: a.Version,
+		AgeMs: age.Millis(a.Age),
 	}
 }
 
@@ -148,5 +150,6 @@
 		ID: p.GetId(), Service: p.GetService(), Address: p.GetAddress(), FailureDomain: p.GetFailureDomain(), Incarnation: p.GetBorn(),
 		Sequence: p.GetSequence(), Slots: int(p.GetSlots()), State: statesFromProto[p.GetState()],
 		ColdRemaining: time.Duration(p.GetColdMs()) * time.Millisecond, Version: p.GetVersion(),
+		Age: time.Duration(p.GetAgeMs()) * time.Millisecond,
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,18 +41,24 @@
 	State   TargetState
 	// ColdRemaining is the time until the target is warm.
 	ColdRemaining time.Duration
+	// Age is how long ago a withdrawal without an incarnation has arrived at the control
+	// instance that tells of it.
+	Age time.Duration
 }
 
 // isLeaving reports whether the target has left or is leaving. Its incarnation
 // never gets new work again.
 func (s TargetState) isLeaving() bool { return s == Draining || s == Gone }
 
+// isBareWithdrawal reports whether a says that a target is gone without naming the incarnation:
+// it applies to the one that is known.
+func (a *Announcement) isBareWithdrawal() bool { return a.State == Gone && a.Incarnation == 0 }
+
 // supersedes reports whether a is newer than b, an announcement with the same
 // ID. Within one incarnation a leaving target never becomes ready again.
 func (a *Announcement) supersedes(b *Announcement) bool {
 	switch {
-	case a.State == Gone && a.Incarnation == 0:
-		// A Gone announcement without an incarnation applies to the known incarnation.
+	case a.isBareWithdrawal():
 		return b.State != Gone
 	case a.Incarnation != b.Incarnation:
 		return a.Incarnation > b.Incarnation
@@ -68,7 +74,7 @@
 
 // merge returns the announcement to keep after a has superseded b.
 func (a Announcement) merge(b *Announcement) Announcement {
-	if a.State == Gone && a.Incarnation == 0 {
+	if a.isBareWithdrawal() {
 		out := *b
 		out.State = Gone
 		return out
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -79,6 +79,8 @@
 		rec = &record{Announcement: a}
 		r.records[a.ID] = rec
 		r.publish(rec, !relayed)
+	case a.isBareWithdrawal() && rec.isBareWithdrawal():
+		r.publish(rec, !relayed) // it may be of a later incarnation than the former one
 	case !a.supersedes(&rec.Announcement):
 		return rec.number, true
 	default:
@@ -89,6 +91,16 @@
 	return rec.number, true
 }
 
+// resolve returns the announcement with the incarnation that is known here, if it names none.
+func (r *Registry) resolve(a Announcement) Announcement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec := r.records[a.ID]; rec != nil && a.Incarnation == 0 {
+		return a.merge(&rec.Announcement)
+	}
+	return a
+}
+
 // updateRecord replaces a record's announcement. It publishes the record only if a
 // property that readers need has changed; periodic repetitions are not
 // published. A change of the place where the target is reached or of whether it gets
@@ -199,6 +211,9 @@
 		}
 		a := c.record.Announcement
 		a.ColdRemaining = max(0, c.record.coldUntil.Sub(now))
+		if a.isBareWithdrawal() {
+			a.Age = now.Sub(c.record.lastAnnounced)
+		}
 		out = append(out, a)
 	}
 	return out, r.lastNumber, r.changed
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -182,3 +182,48 @@
 	r.Announce(readyAnnouncement("old", 5, 71), false)
 	assert.Equal(t, announcementOf(t, r, "old").State, Gone)
 }
+
+// Guards against a target that is out of use for good since the withdrawal of its earlier
+// incarnation, at a control instance that did not know it, arrives after its first announcement
+// through another one.
+func TestLateWithdrawalDoesNotConcernTheNextIncarnation(t *testing.T) {
+	forgetful, c := newTestRegistry()
+	views := NewViewStore(nil, c.now)
+	state := func() TargetState {
+		v, _ := views.View()
+		return v.Targets["i1"].State
+	}
+	views.Merge(nil, []Announcement{readyAnnouncement("i1", 5, 9)})
+	forgetful.Announce(Announcement{ID: "i1", State: Gone}, false)
+	c.current = c.current.Add(time.Second)
+	views.Merge(nil, []Announcement{readyAnnouncement("i1", 6, 1)})
+	c.current = c.current.Add(time.Second)
+	late, _, _ := forgetful.Since(0)
+	views.Merge(nil, late)
+	assert.Equal(t, state(), Ready)
+	views.Merge(nil, []Announcement{readyAnnouncement("i1", 6, 2)})
+	assert.Equal(t, state(), Ready)
+
+	c.current = c.current.Add(time.Second)
+	_, cursor, _ := forgetful.Since(0)
+	forgetful.Announce(Announcement{ID: "i1", State: Gone}, false)
+	current, _, _ := forgetful.Since(cursor)
+	views.Merge(nil, current)
+	assert.Equal(t, state(), Gone, "the withdrawal of the next incarnation, at the same control instance")
+}
+
+// Guards against a withdrawal that another control instance, which has heard of the next
+// incarnation, takes for that one's.
+func TestRelayedWithdrawalNamesItsIncarnation(t *testing.T) {
+	r, _ := newTestRegistry()
+	r.Announce(readyAnnouncement("i1", 5, 3), false)
+	withdrawal := Announcement{ID: "i1", State: Gone}
+	r.Announce(withdrawal, false)
+	relayed := r.resolve(withdrawal)
+	assert.Equal(t, relayed.Incarnation, int64(5))
+	assert.Equal(t, relayed.State, Gone)
+	other, _ := newTestRegistry()
+	other.Announce(readyAnnouncement("i1", 6, 1), false)
+	other.Announce(relayed, true)
+	assert.Equal(t, announcementOf(t, other, "i1").State, Ready)
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -11,8 +11,9 @@
 // Target is one incarnation of a target in an instance's view.
 type Target struct {
 	Announcement
-	// LastAnnounced is when the newest announcement arrived.
-	LastAnnounced time.Time
+	// FirstAnnounced and LastAnnounced are when the first and the newest announcement of the
+	// incarnation arrived.
+	FirstAnnounced, LastAnnounced time.Time
 	// ColdUntil is when the target will be warm, or became warm, according to
 	// its announcements; zero if it has never announced that it is cold.
 	ColdUntil time.Time
@@ -29,6 +30,15 @@
 	return (t.State.isLeaving() && age > recordRetention) || (t.State == Silent && age > silentRetention)
 }
 
+// isSupersededBy reports whether a is newer than the target's announcement. A withdrawal that
+// names no incarnation and had arrived before this one was heard of is of an earlier one.
+func (t *Target) isSupersededBy(a *Announcement, now time.Time) bool {
+	if a.isBareWithdrawal() && now.Add(-a.Age).Before(t.FirstAnnounced) {
+		return false
+	}
+	return a.supersedes(&t.Announcement)
+}
+
 // View is an instance's copy of the deployment's state, merged from the responses
 // of the control instances. It is immutable.
 type View struct {
@@ -239,14 +249,14 @@
 }
 
 func (s *ViewStore) mergeTargets(next *View, announcements []Announcement) bool {
+	now := s.now()
 	supersedesKnown := func(a Announcement) bool {
 		old, known := next.Targets[a.ID]
-		return !known || a.supersedes(&old.Announcement)
+		return !known || old.isSupersededBy(&a, now)
 	}
 	if !slices.ContainsFunc(announcements, supersedesKnown) {
 		return false // each control instance reports every change
 	}
-	now := s.now()
 	targets := make(map[string]*Target, len(next.Targets)+len(announcements))
 	for id, t := range next.Targets {
 		if t.isForgotten(now) {
@@ -257,7 +267,7 @@
 	changed := false
 	for _, a := range announcements {
 		old, known := targets[a.ID]
-		if known && !a.supersedes(&old.Announcement) {
+		if known && !old.isSupersededBy(&a, now) {
 			continue
 		}
 		if known {
@@ -265,7 +275,11 @@
 		} else if a.Address == "" {
 			continue // a Gone announcement of a target that is not in the view
 		}
-		targets[a.ID] = &Target{Announcement: a, LastAnnounced: now, ColdUntil: coldUntil(&a, old, now)}
+		first := now
+		if known && old.Incarnation == a.Incarnation {
+			first = old.FirstAnnounced
+		}
+		targets[a.ID] = &Target{Announcement: a, FirstAnnounced: first, LastAnnounced: now, ColdUntil: coldUntil(&a, old, now)}
 		changed = true
 	}
 	next.Targets = targets
