--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -44,6 +44,8 @@
 	Priority int
 	// Split lists the services and their weights.
 	Split []Share
+	// Unused lists services that the route names without leading there.
+	Unused []string
 	// MaxAttempts bounds the number of targets that one attempt of a caller may run on.
 	MaxAttempts int
 	// Public is set if requests need no key.
@@ -179,7 +181,7 @@
 	accountOf := map[string]string{}
 	for _, a := range m.Accounts {
 		for _, k := range a.Keys {
-			if other, ok := accountOf[k]; ok && other != a.Name {
+			if other, ok := accountOf[k]; ok && other != a.Name { // ValidateNew refuses more
 				return invalidError("client accounts %q and %q share a key", other, a.Name)
 			}
 			accountOf[k] = a.Name
--- a/internal/manifest/texts.go
+++ b/internal/manifest/texts.go
@@ -6,9 +6,7 @@
 )
 
 // ValidateTexts returns an error with code SettingsInvalid if a name, host, path prefix,
-// key or region is one that a header, a log or another process cannot hold. It is required
-// of a manifest that an operator sends, but not of one that is in force: an earlier version
-// of the program may have accepted it.
+// key or region is one that a header, a log or another process cannot hold.
 func (m *Manifest) ValidateTexts() error {
 	for i := range m.Services {
 		if err := identifier.CheckName(resultcode.SettingsInvalid, "service", m.Services[i].Name); err != nil {
