netconn: a refusal reaches a caller that is still sending its body

Callers saw: a reset in place of the refusal, so that they did not know that nothing had run. Cause: the refusal was sent before the body had been read; net/http closes half a second later, and a close with unread data resets the connection. Evidence: TestRefusalReachesACallerThatStillSends failed before in all four cases (broken pipe).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/endivetrack/endivetrack/internal/entry/permit"
 	"github.com/endivetrack/endivetrack/internal/entry/query"
 	"github.com/endivetrack/endivetrack/internal/entry/reply"
+	"github.com/endivetrack/endivetrack/internal/netconn"
 	"github.com/endivetrack/endivetrack/internal/peerauth"
 	"github.com/endivetrack/endivetrack/internal/process"
 	"github.com/endivetrack/endivetrack/internal/quarantine"
@@ -170,6 +171,7 @@
 	if e := resultcode.From(err); c.Path() == resumePath && e.Execution == resultcode.NotRun {
 		err = e.WithExecution(resultcode.Unknown) // the generation was dispatched by an earlier request
 	}
+	netconn.DiscardBody(c.Response(), c.Request())
 	reply.Error(c.Response(), err)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -20,6 +20,7 @@
 
 	"github.com/endivetrack/endivetrack/internal/fleet"
 	"github.com/endivetrack/endivetrack/internal/manifest"
+	"github.com/endivetrack/endivetrack/internal/netconn"
 	"github.com/endivetrack/endivetrack/internal/quarantine"
 	"github.com/endivetrack/endivetrack/internal/resultcode"
 	"github.com/endivetrack/endivetrack/internal/streamversion"
@@ -239,6 +240,9 @@
 	if w.begun {
 		panic(http.ErrAbortHandler)
 	}
+	if !late {
+		netconn.DiscardBody(w, r)
+	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	if q.id != "" {
