--- a/standin/soak/copies.go
+++ b/standin/soak/copies.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/endivetrack/endivetrack/platform/platformtest"
 )
@@ -157,6 +159,28 @@
 	Last bool   `json:"last"`
 }
 
+// reachTimeout is the time to connect to the target that is to get a copy.
+const reachTimeout = 200 * time.Millisecond
+
+func isReachable(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, reachTimeout)
+	if err == nil {
+		_ = conn.Close() // nothing was sent
+	}
+	return err == nil
+}
+
+// refuseCopy answers that the target of a copy cannot be reached. A run that was to stop has
+// stopped, and its memory stays here.
+func (t *target) refuseCopy(w http.ResponseWriter, call copyCall) {
+	text := ""
+	if call.Last {
+		text = t.copyRun(call, t.self.Address)
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = fmt.Fprint(w, text) // the caller may have left
+}
+
 // serveCopyCall serves a call that copies or releases a run's memory. Copies are made at
 // once, and targets other than the source learn of them without a message.
 func (t *target) serveCopyCall(w http.ResponseWriter, r *http.Request) {
@@ -169,6 +193,10 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if !isReachable(call.To) {
+		t.refuseCopy(w, call)
+		return
+	}
 	odd, holder := t.oddCopy(call), call.To
 	if odd != nil && !odd.repeats {
 		if !call.Last {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -56,6 +56,7 @@
 	{"misbehavior", (*faultInjector).misbehave}, {"misbehavior", (*faultInjector).misbehave}, {"misbehavior", (*faultInjector).misbehave},
 	{"other writer", (*faultInjector).announceOdd},
 	{"leaves by answers", (*faultInjector).leaveByAnswers}, {"wants quiet", (*faultInjector).wantQuiet},
+	{"parts of requests", (*faultInjector).sendParts}, {"crash while frozen", (*faultInjector).crashWhileFrozen},
 }
 
 // run starts faults until ctx is done and waits until all of them are over.
@@ -293,6 +294,23 @@
 	}
 }
 
+// crashWhileFrozen lets a target crash and another one start, as a rule more than once, while an
+// entry instance is frozen that may have requests there.
+func (c *faultInjector) crashWhileFrozen(ctx context.Context, duration time.Duration, n int) {
+	e := c.entries[n%len(c.entries)]
+	if !e.tryClaim() {
+		return
+	}
+	defer e.release()
+	defer c.history.beginFault(e.Instance.Name, false)()
+	e.Freeze()
+	defer e.Continue()
+	for i, pause := 0, duration/3; i < 3; i++ {
+		c.crashTarget(ctx, 0, n/len(c.entries)+i)
+		sleep(ctx, pause)
+	}
+}
+
 func (c *faultInjector) replaceTarget() {
 	if _, err := c.addTarget(); err != nil {
 		c.violation("start a target: %v", err)
--- a/standin/soak/operator.go
+++ b/standin/soak/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,11 @@
 	keptKey          = "key-kept"
 	revokedKey       = "key-revoked"
 	evacuatedDomain  = "north-b"
+	// Large settings are in force during a part of the run: many routes, changed often.
+	largeAfter    = 3 * time.Second
+	largeDuration = 8 * time.Second
+	largeInterval = 200 * time.Millisecond
+	largeRoutes   = 800 // about 200 KB
 )
 
 // operator changes the settings in the routing manifest during a run and checks that
@@ -95,6 +101,7 @@
 	var all sync.WaitGroup
 	all.Go(func() { o.evacuateAndRestore(ctx, start) })
 	all.Go(func() { o.checkReads(ctx) })
+	all.Go(func() { o.changeLargeSettings(ctx, start) })
 	for ctx.Err() == nil {
 		sleep(ctx, changeInterval)
 		var change func(*platformtest.Manifest)
@@ -109,6 +116,25 @@
 	all.Wait()
 }
 
+// changeLargeSettings adds many routes, other ones with each change, and removes them again.
+func (o *operator) changeLargeSettings(ctx context.Context, start time.Time) {
+	o.mu.Lock()
+	own := slices.Clone(o.manifest.Routes)
+	o.mu.Unlock()
+	sleep(ctx, time.Until(start.Add(largeAfter)))
+	for n := 0; ctx.Err() == nil && time.Since(start) < largeAfter+largeDuration; n++ {
+		routes := slices.Clone(own)
+		for i := range largeRoutes {
+			extra := own[0]
+			extra.Name, extra.PathPrefix = fmt.Sprintf("extra-%d-%d", n, i), fmt.Sprintf("/extra/%d/%d/", n, i)
+			routes = append(routes, extra)
+		}
+		_ = o.putManifest(ctx, func(m *platformtest.Manifest) { m.Routes = routes }) // fails only at the end of the run
+		sleep(ctx, largeInterval)
+	}
+	_ = o.putManifest(ctx, func(m *platformtest.Manifest) { m.Routes = own }) // as above
+}
+
 func (o *operator) evacuateAndRestore(ctx context.Context, start time.Time) {
 	sleep(ctx, time.Until(start.Add(evacuateAfter)))
 	if retryUntilAccepted(ctx, func() error { return o.client.SetDomain(ctx, evacuatedDomain, false) }) != nil {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -138,6 +138,7 @@
 	h := &history{}
 	c := &faultInjector{deployment: d, history: h, rng: rand.New(rand.NewPCG(o.Seed, 1)), counts: map[string]int{}}
 	callers := runLoad(ctx, o, d, op, c)
+	c.checkNothingHeld(ctx) // before the processes are killed
 	end := rand.New(rand.NewPCG(o.Seed, 0))
 	killed := end.Float64() < killAllProbability
 	if killed {
