--- a/internal/agreement/sim_test.go
+++ b/internal/agreement/sim_test.go
@@ -60,6 +60,7 @@
 // may restart and its disk may be replaced.
 type simNode struct {
 	name           string
+	address        string // its name if empty
 	diskless       bool
 	disk           *waltest.MemFS
 	up             bool
@@ -182,7 +183,10 @@
 
 // start starts a node's process with the contents of its disk.
 func (w *simWorld) start(n *simNode) {
-	self, dir := Member{Name: n.name, Address: n.name}, "disk"
+	if n.address == "" {
+		n.address = n.name
+	}
+	self, dir := Member{Name: n.name, Address: n.address}, "disk"
 	o := wal.Options{FS: n.disk, SegmentBytes: 2048}
 	if n.diskless {
 		dir = ""
@@ -196,7 +200,7 @@
 		w.crashOnError(n, err)
 		return
 	}
-	config, _ := Config{Name: n.name, Address: n.name, Bootstrap: w.bootstrap, KeepEntries: 8, ReplaceAfter: time.Second}.withDefaults()
+	config, _ := Config{Name: n.name, Address: n.address, Bootstrap: w.bootstrap, KeepEntries: 8, ReplaceAfter: time.Second}.withDefaults()
 	if w.autoMembership {
 		w.configureAutoMembership(n, &config)
 	}
@@ -337,9 +341,14 @@
 	}
 }
 
-func (w *simWorld) node(name string) *simNode {
-	i := slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.name == name })
-	return w.nodes[i]
+// node returns the newest node at an address.
+func (w *simWorld) node(address string) *simNode {
+	for _, n := range slices.Backward(w.nodes) {
+		if n.address == address {
+			return n
+		}
+	}
+	panic("no node has the address " + address)
 }
 
 // deliver delivers the messages that are due, in random order.
@@ -546,7 +555,7 @@
 		return
 	}
 	for _, v := range m.voters() {
-		if x := w.node(v.Name); x.loseDiskAgain && x.up && x.protocol.core.cfg.Self.Incarnation == v.Incarnation && x != n {
+		if x := w.node(v.Address); x.loseDiskAgain && x.up && x.protocol.core.cfg.Self.Incarnation == v.Incarnation && x != n {
 			if w.loseDisk(x) {
 				x.loseDiskAgain = false
 				w.counts["disk lost again"]++
