--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -69,11 +71,12 @@
 
 func (b *budget) bucket(service string, now time.Time) *budgetBucket {
 	ring := b.services[service]
+	sliceNumber := b.sliceNumber(now)
 	if ring == nil {
+		b.dropUnused(sliceNumber)
 		ring = &[budgetBuckets]budgetBucket{}
 		b.services[service] = ring
 	}
-	sliceNumber := b.sliceNumber(now)
 	x := &ring[sliceNumber%budgetBuckets]
 	if x.sliceNumber != sliceNumber {
 		*x = budgetBucket{sliceNumber: sliceNumber}
@@ -81,6 +84,14 @@
 	return x
 }
 
+// dropUnused forgets the services without a request in the window: manifests may name others
+// again and again.
+func (b *budget) dropUnused(newest int64) {
+	maps.DeleteFunc(b.services, func(_ string, ring *[budgetBuckets]budgetBucket) bool {
+		return !slices.ContainsFunc(ring[:], func(x budgetBucket) bool { return newest-x.sliceNumber < budgetBuckets/2 })
+	})
+}
+
 // windowCounts returns the numbers of requests and retries of the service in the
 // window that ends now.
 func (b *budget) windowCounts(service string, now time.Time) (requests, retries int) {
--- a/internal/forward/decide_test.go
+++ b/internal/forward/decide_test.go
@@ -262,3 +262,16 @@
 		t.Fatal("runs at the previous incarnation are not notified")
 	}
 }
+
+// Guards against memory that grows with each service that a manifest has ever named.
+func TestBudgetForgetsServicesOfEarlierManifests(t *testing.T) {
+	b, now := newBudget(BudgetConfig{Window: time.Second, Ratio: 0.2, Slack: 10}), testNow
+	for n := range 1000 {
+		now = now.Add(200 * time.Millisecond)
+		b.recordRequest("kept", now)
+		b.recordRequest(fmt.Sprint("service-", n), now)
+		assert.Assert(t, len(b.services) < 10, "%d services", len(b.services))
+	}
+	requests, _ := b.windowCounts("kept", now)
+	assert.Equal(t, requests, 5)
+}
