fleet: a target that no control instance vouches for counts as silent

Callers could get: requests that try a dead target first, again and again. Cause: only the control instance that a target announced itself to says that it has fallen silent; one that restarts meanwhile does not know it. Evidence: TestTargetThatNobodyVouchesForCountsAsSilent; without MergeFrom's vouchers the state stays ready (the view had nothing that could end it). Why it works: a working target announces itself every half second, and each control instance that has not heard of it passes that on; after 10 s without any, it is treated as any silent target: chosen last, not excluded.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -177,7 +177,7 @@
 	}()
 	client := api.NewFleetQueryProtobufClient("http://"+address, f.peerClient)
 	position := position{control: address}
-	defer f.views.SetEntries(address, nil)
+	defer f.views.Forget(address)
 	defer f.markUnreachable(address)
 	delay := pollRetryDelay
 	reachable := false
@@ -260,8 +260,8 @@
 	if resp.GetState() != nil {
 		state = stateFromProto(resp.GetState())
 	}
-	f.views.Merge(state, f.announcementsOf(resp))
 	isNew := resp.GetEpoch() != p.epoch
+	f.views.MergeFrom(p.control, isNew, state, f.announcementsOf(resp))
 	p.epoch, p.cursor = resp.GetEpoch(), resp.GetCursor()
 	f.markReachable(p.control, f.locationOf(resp))
 	if isNew {
--- a/internal/fleet/lives_test.go
+++ b/internal/fleet/lives_test.go
@@ -31,15 +31,15 @@
 		registry.Sweep()
 		var changed []Announcement
 		changed, cursor, _ = registry.Since(cursor)
-		views.Merge(nil, changed)
+		control := fmt.Sprint("control-", n)
+		views.MergeFrom(control, true, nil, changed)
 
 		end := watchers.BeginPoll(Watcher{Name: fmt.Sprint("entry-", n), Address: "10.1.0.1:80", FailureDomain: "a"}, 0, time.Second)
 		end(n%2 == 0)
 		entries, _ := watchers.EntryInstances()
-		control := fmt.Sprint("control-", n)
 		views.SetEntries(control, entries)
 		if n > 0 {
-			views.SetEntries(fmt.Sprint("control-", n-1), nil)
+			views.Forget(fmt.Sprint("control-", n-1))
 		}
 
 		view, _ := views.View()
@@ -49,5 +49,6 @@
 		assert.Assert(t, len(view.Targets) <= most, "%d targets", len(view.Targets))
 		assert.Assert(t, len(view.Entries) <= most, "%d entry instances", len(view.Entries))
 		assert.Assert(t, len(views.entryLists) == 1, "%d lists", len(views.entryLists))
+		assert.Assert(t, len(views.vouchers.targets) <= 1 && len(views.vouchers.orphanedAt) <= most, "%+v", views.vouchers)
 	}
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -103,6 +104,7 @@
 	manifestVersion       uint64               // version of view.Manifest
 	newestManifestVersion uint64               // newest version that a control instance has reported
 	entryLists            map[string][]Watcher // entry instances, by address of the control instance that lists them
+	vouchers              vouchers
 	changed               chan struct{}
 }
 
@@ -110,7 +112,7 @@
 // document that the control group has accepted.
 func NewViewStore(decode func([]byte) (*manifest.Manifest, error), now func() time.Time) *ViewStore {
 	return &ViewStore{
-		decode: decode, now: now, changed: make(chan struct{}), entryLists: map[string][]Watcher{},
+		decode: decode, now: now, changed: make(chan struct{}), entryLists: map[string][]Watcher{}, vouchers: newVouchers(),
 		view: &View{OutOfService: map[string]bool{}, Targets: map[string]*Target{}, Entries: map[string]Watcher{}},
 	}
 }
@@ -175,15 +177,54 @@
 // Merge merges the state, which may be nil, and the announcements from one
 // control instance into the view.
 func (s *ViewStore) Merge(state *State, announcements []Announcement) {
+	s.MergeFrom("", false, state, announcements)
+}
+
+// MergeFrom is Merge for the control instance at an address. restarted says that it has
+// forgotten what it said before.
+func (s *ViewStore) MergeFrom(control string, restarted bool, state *State, announcements []Announcement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.now()
+	if restarted {
+		s.vouchers.drop(control, now)
+	}
+	s.vouchers.note(control, announcements)
 	next := *s.view
 	changed := s.mergeState(&next, state)
-	if s.mergeTargets(&next, announcements) || changed {
+	changed = s.mergeTargets(&next, announcements) || changed
+	if s.silenceOrphans(&next, now) || changed {
 		s.publish(&next)
 	}
 }
 
+// Forget records that a control instance is gone.
+func (s *ViewStore) Forget(control string) {
+	s.SetEntries(control, nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vouchers.drop(control, s.now())
+}
+
+// silenceOrphans marks the ready targets as silent that no control instance has vouched for
+// during orphanTime. It reports whether there are any.
+func (s *ViewStore) silenceOrphans(next *View, now time.Time) bool {
+	changed := false
+	for _, id := range s.vouchers.takeSilent(now) {
+		old := next.Targets[id]
+		if old == nil || old.State != Ready {
+			continue
+		}
+		if !changed {
+			next.Targets, changed = maps.Clone(next.Targets), true
+		}
+		silent := *old
+		silent.State, silent.LastAnnounced = Silent, now
+		next.Targets[id] = &silent
+	}
+	return changed
+}
+
 // publish makes next the newest view. The caller must hold s.mu.
 func (s *ViewStore) publish(next *View) {
 	next.serving, next.versions = map[string]bool{}, map[string][]string{}
