wal: a start allocates three times the log in place of ten

A start encoded all entries in one piece, in buffers that grew by doubling, copied that into a record and the record into the file's contents, beside all segments as they were read. Change: buffers have their size from the start; groups (1 MiB in place of 4) are encoded and written one after the other; a segment that was replayed is let go. On disk the format is the same.

--- a/internal/agreement/large_log_test.go
+++ b/internal/agreement/large_log_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -40,14 +41,63 @@
 	for n := range commands {
 		g.propose(ctx, fmt.Sprint(n, command))
 	}
-	files, err := filepath.Glob(filepath.Join(g.dir, "a", "*.log"))
+	total := logBytes(t, filepath.Join(g.dir, "a"))
+	t.Logf("%d bytes of log after %d bytes of commands", total, commands*commandBytes)
+	assert.Assert(t, total <= maxLogBytes, "%d bytes of log after %d bytes of commands", total, commands*commandBytes)
+}
+
+// lastCommand is a state machine whose state is its last command.
+type lastCommand struct{ data []byte }
+
+func (m *lastCommand) Apply(_ uint64, command []byte) any { m.data = command; return nil }
+func (m *lastCommand) Snapshot() ([]byte, error)          { return m.data, nil }
+func (m *lastCommand) Restore(data []byte) error          { m.data = data; return nil }
+
+// BenchmarkStart measures the start of a node against the size of its log: the time and the
+// allocations until it has opened the log. The state is small.
+func BenchmarkStart(b *testing.B) {
+	const commandBytes = 90_000
+	for _, megabytes := range []int{0, 2, 4, 8, 16, 64} {
+		b.Run(fmt.Sprintf("after %d MB", megabytes), func(b *testing.B) {
+			dir := filepath.Join(b.TempDir(), "a")
+			config := Config{Name: "a", Address: "a", Bootstrap: []Member{{Name: "a", Address: "a"}}, DataDir: dir, ElectionTimeout: 50 * time.Millisecond, HeartbeatInterval: 10 * time.Millisecond}
+			node := startAlone(b, config)
+			for range megabytes * 1_000_000 / commandBytes {
+				_, err := node.Propose(b.Context(), make([]byte, commandBytes))
+				assert.NilError(b, err)
+			}
+			node.Stop()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				n, err := Start(config, &lastCommand{}, memoryTransport{network: &memoryNetwork{}}, nil)
+				assert.NilError(b, err)
+				b.StopTimer()
+				n.Stop()
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(logBytes(b, dir))/1e6, "MB-log")
+		})
+	}
+}
+
+// startAlone starts the only node of a group and waits until it leads.
+func startAlone(b *testing.B, config Config) *Node {
+	node, err := Start(config, &lastCommand{}, memoryTransport{network: &memoryNetwork{}}, nil)
+	assert.NilError(b, err)
+	for node.Status().Role != Leader {
+		time.Sleep(time.Millisecond)
+	}
+	return node
+}
+
+func logBytes(t testing.TB, dir string) (total int64) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
 	assert.NilError(t, err)
-	total := int64(0)
 	for _, f := range files {
 		info, err := os.Stat(f)
 		assert.NilError(t, err)
 		total += info.Size()
 	}
-	t.Logf("%d bytes of log after %d bytes of commands", total, commands*commandBytes)
-	assert.Assert(t, total <= maxLogBytes, "%d bytes of log after %d bytes of commands", total, commands*commandBytes)
+	return total
 }
--- a/internal/wal/encoding.go
+++ b/internal/wal/encoding.go
@@ -67,10 +67,21 @@
 	return binary.AppendUvarint(binary.AppendUvarint(buf, h.prevIndex), h.prevTerm)
 }
 
+// Most bytes that a group record's payload has beside the vote and the entries' data: numbers
+// and an entry's type.
+const (
+	maxGroupOverhead = 3 * binary.MaxVarintLen64
+	maxEntryOverhead = 3*binary.MaxVarintLen64 + 1
+)
+
 // encodeGroup encodes the payload of a group record: the hard state and entries
 // with consecutive indexes.
 func encodeGroup(s HardState, entries []Entry) []byte {
-	buf := appendHardState(nil, s)
+	size := maxGroupOverhead + len(s.Vote)
+	for _, e := range entries {
+		size += maxEntryOverhead + len(e.Data)
+	}
+	buf := appendHardState(make([]byte, 0, size), s)
 	buf = binary.AppendUvarint(buf, uint64(len(entries)))
 	for _, e := range entries {
 		buf = binary.AppendUvarint(buf, e.Index)
@@ -82,8 +93,8 @@
 }
 
 func encodeSnapshot(s Snapshot) []byte {
-	buf := binary.AppendUvarint(nil, s.Index)
-	buf = binary.AppendUvarint(buf, s.Term)
+	buf := make([]byte, 0, maxEntryOverhead+binary.MaxVarintLen64+len(s.Membership)+len(s.Data))
+	buf = binary.AppendUvarint(binary.AppendUvarint(buf, s.Index), s.Term)
 	return appendBytes(appendBytes(buf, s.Membership), s.Data)
 }
 
--- a/internal/wal/load.go
+++ b/internal/wal/load.go
@@ -81,6 +81,7 @@
 		if err := loadSegment(r, number, contents[i], i == first, i == len(numbers)-1); err != nil {
 			return err
 		}
+		contents[i] = nil // the entries are copies: at most one segment beside them is in memory
 	}
 	return nil
 }
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"hash/crc32"
+	"slices"
 )
 
 // A record is {length uint32, CRC32C uint32, type byte, payload}, little endian.
@@ -52,6 +53,7 @@
 // appendRecord appends a record, encoded for position pos, to buf.
 func appendRecord(buf []byte, pos recordPosition, typ RecordType, payload []byte) []byte {
 	n := uint32(len(payload))
+	buf = slices.Grow(buf, recordHeaderBytes+len(payload))
 	buf = binary.LittleEndian.AppendUint32(buf, n)
 	buf = binary.LittleEndian.AppendUint32(buf, checksum(pos, n, typ, payload))
 	buf = append(buf, byte(typ))
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"iter"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -195,22 +196,23 @@
 
 // rotate starts a new segment whose first entry will be next.
 func (l *Log) rotate(next Entry) error {
-	return l.startSegment(header{state: l.state, prevIndex: next.Index - 1})
+	return l.startSegment(header{state: l.state, prevIndex: next.Index - 1}, encodeGroups(l.state, nil))
 }
 
 // startSegment durably creates the next segment with a header record and the
 // given group records, and makes it the current segment.
-func (l *Log) startSegment(h header, groups ...[]byte) error {
+func (l *Log) startSegment(h header, groups iter.Seq[[]byte]) error {
 	number := uint64(1)
 	if n := len(l.segments); n > 0 {
 		number = l.segments[n-1].number + 1
 	}
-	data := appendRecord(nil, recordPosition{file: number}, recordHeader, encodeHeader(h))
-	for _, g := range groups {
-		data = appendRecord(data, recordPosition{file: number, offset: uint64(len(data))}, recordGroup, g)
+	offset := uint64(0)
+	write := func(file File) error {
+		written, err := writeSegment(file, number, h, groups)
+		offset = written
+		return err
 	}
-	name := segmentName(number)
-	file, err := l.createFileDurably(name, data, PointBeforeSegmentRename, PointAfterSegmentRename)
+	file, err := l.createFileDurably(segmentName(number), write, PointBeforeSegmentRename, PointAfterSegmentRename)
 	if err != nil {
 		return err
 	}
@@ -219,21 +221,42 @@
 			return errors.Join(err, file.Close())
 		}
 	}
-	l.file, l.offset = file, uint64(len(data))
+	l.file, l.offset = file, offset
 	l.segments = append(l.segments, segment{number: number, lastIndex: h.prevIndex})
 	return nil
 }
 
+// writeSegment writes the records one after the other, so that one of them is in memory at a
+// time, and returns the number of bytes.
+func writeSegment(file File, number uint64, h header, groups iter.Seq[[]byte]) (offset uint64, err error) {
+	var buf []byte
+	write := func(typ RecordType, payload []byte) error {
+		buf = appendRecord(buf[:0], recordPosition{file: number, offset: offset}, typ, payload)
+		offset += uint64(len(buf))
+		_, err := file.Write(buf)
+		return err
+	}
+	if err := write(recordHeader, encodeHeader(h)); err != nil {
+		return 0, err
+	}
+	for g := range groups {
+		if err := write(recordGroup, g); err != nil {
+			return 0, err
+		}
+	}
+	return offset, nil
+}
+
 // createFileDurably writes a file under a temporary name, syncs it, renames it and
 // syncs the directory. It returns the open file.
-func (l *Log) createFileDurably(name string, data []byte, before, after faultpoint.Point) (File, error) {
+func (l *Log) createFileDurably(name string, write func(File) error, before, after faultpoint.Point) (File, error) {
 	tempPath := l.path(name + tempSuffix)
 	file, err := l.fs.Create(tempPath)
 	if err != nil {
 		return nil, err
 	}
 	steps := []func() error{
-		func() error { _, err := file.Write(data); return err },
+		func() error { return write(file) },
 		file.Sync,
 		func() error { return faultpoint.Hit(before) },
 		func() error { return l.fs.Rename(tempPath, l.path(name)) },
@@ -250,7 +273,11 @@
 
 // writeFileDurably writes a complete file as createFileDurably does, and closes it.
 func (l *Log) writeFileDurably(name string, data []byte, before, after faultpoint.Point) error {
-	file, err := l.createFileDurably(name, data, before, after)
+	write := func(file File) error {
+		_, err := file.Write(data)
+		return err
+	}
+	file, err := l.createFileDurably(name, write, before, after)
 	if err != nil {
 		return err
 	}
@@ -259,7 +286,7 @@
 
 // maxGroupBytes limits the entry data in one group record written by Reset. A
 // larger single entry gets its own record.
-const maxGroupBytes = 4 << 20
+const maxGroupBytes = 1 << 20
 
 // Reset replaces the log by the hard state and the given entries. prevIndex and
 // prevTerm identify the entry before them.
@@ -267,18 +294,8 @@
 	if err := l.failure(); err != nil {
 		return err
 	}
-	var groups [][]byte
-	for remaining := entries; len(remaining) > 0; {
-		n, size := 0, 0
-		for n < len(remaining) && (n == 0 || size+len(remaining[n].Data) <= maxGroupBytes) {
-			size += len(remaining[n].Data)
-			n++
-		}
-		groups = append(groups, encodeGroup(s, remaining[:n]))
-		remaining = remaining[n:]
-	}
 	h := header{state: s, reset: true, prevIndex: prevIndex, prevTerm: prevTerm}
-	if err := l.startSegment(h, groups...); err != nil {
+	if err := l.startSegment(h, encodeGroups(s, entries)); err != nil {
 		return l.recordFailure(err)
 	}
 	l.state = s
@@ -289,6 +306,23 @@
 	return l.removeSegments(len(l.segments) - 1)
 }
 
+// encodeGroups returns the payloads of the group records that hold the entries.
+func encodeGroups(s HardState, entries []Entry) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for len(entries) > 0 {
+			n, size := 0, 0
+			for n < len(entries) && (n == 0 || size+len(entries[n].Data) <= maxGroupBytes) {
+				size += len(entries[n].Data)
+				n++
+			}
+			if !yield(encodeGroup(s, entries[:n])) {
+				return
+			}
+			entries = entries[n:]
+		}
+	}
+}
+
 // Compact removes the oldest segments, as long as none of their entries is after
 // index. The caller must have saved a snapshot that covers index.
 func (l *Log) Compact(index uint64) error {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -157,3 +158,29 @@
 		assert.Assert(t, errors.Is(err, errBadRecord))
 	}
 }
+
+// Guards against a start that needs many times the memory of the log: it is read once, kept
+// once and written once, whatever its size.
+func TestOpenAllocatesTheLogThreeTimes(t *testing.T) {
+	const (
+		entries    = 160
+		entryBytes = 100_000
+		allowed    = 3*entries*entryBytes + 4*maxGroupBytes
+	)
+	dir := t.TempDir()
+	l, _, err := Open(dir, Options{})
+	assert.NilError(t, err)
+	for n := range uint64(entries) {
+		assert.NilError(t, l.Append(HardState{Term: 1}, []Entry{{Index: n + 1, Term: 1, Type: EntryCommand, Data: make([]byte, entryBytes)}}))
+	}
+	assert.NilError(t, l.Close())
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	l, s, err := Open(dir, Options{})
+	assert.NilError(t, err)
+	runtime.ReadMemStats(&after)
+	assert.Equal(t, len(s.Entries), entries)
+	assert.NilError(t, l.Close())
+	got := after.TotalAlloc - before.TotalAlloc
+	assert.Assert(t, got <= allowed, "%d bytes allocated for a log of %d bytes", got, entries*entryBytes)
+}
