--- a/internal/entry/permit/avoided.go
+++ b/internal/entry/permit/avoided.go
@@ -29,7 +29,8 @@
 }
 
 // add records until when a target gets no requests. A shorter time does not replace a longer
-// one. It reports whether the target was not avoided before.
+// one. Beyond maxAvoided the one that ends first gives way. It reports whether the target was
+// not avoided before.
 func (t *avoidedTargets) add(k targetKey, now, until time.Time) (isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -43,7 +44,7 @@
 	}
 	before, known := t.until[k]
 	if !known && len(t.until) >= maxAvoided {
-		return false
+		t.dropFirst()
 	}
 	if until.After(before) {
 		t.until[k] = until
@@ -51,6 +52,17 @@
 	return !known
 }
 
+// dropFirst forgets the target that is avoided for the shortest time. The caller holds t.mu.
+func (t *avoidedTargets) dropFirst() {
+	var first targetKey
+	for k, until := range t.until {
+		if end, found := t.until[first]; !found || until.Before(end) {
+			first = k
+		}
+	}
+	delete(t.until, first)
+}
+
 // end returns until when a target is avoided, and false if it is not.
 func (t *avoidedTargets) end(k targetKey, now time.Time) (time.Time, bool) {
 	t.mu.Lock()
--- a/internal/entry/permit/statements.go
+++ b/internal/entry/permit/statements.go
@@ -18,8 +18,9 @@
 // instance that restarts has forgotten it; the owner of the shard knows which targets leave.
 
 // leavingMemory is how long this instance remembers that an incarnation said that it leaves.
-// It counts for statement.MaxLeaving; what a faulty target repeats later is not believed.
-const leavingMemory = 24 * time.Hour
+// It counts for statement.MaxLeaving; what a faulty target repeats after that is not believed
+// until it is forgotten.
+const leavingMemory = 2 * statement.MaxLeaving
 
 // MarkLeaving records that the permit's target leaves, and reports whether that is news.
 func (a *Acquirer) MarkLeaving(shard session.ShardKey, p *api.Permit, now time.Time) bool {
