--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -5,7 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
@@ -121,3 +125,37 @@
 		})
 	}
 }
+
+// Guards against sound unframed responses that are cut: those that end with their head, soon
+// after it, and late, while other requests run.
+func TestSoundUnframedResponsesAreWhole(t *testing.T) {
+	const callers, requests = 8, 50
+	inOneSegment := unframedInOneSegment(t, "body")
+	x := newFakeTarget(t, "i1", func(r seenRequest, c net.Conn) {
+		switch n := len(r.Header.Get("T-Id")) % 3; {
+		case n == 0:
+			inOneSegment(r, c)
+		case n == 1:
+			unframed("body", false)(r, c)
+		default:
+			writeUnframedHead(c, r)
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, "body")
+			_ = c.Close()
+		}
+	})
+	f := newFixture(t, "core", x)
+	var whole atomic.Int64
+	var all sync.WaitGroup
+	for caller := range callers {
+		all.Go(func() {
+			for n := range requests {
+				if f.send(http.DefaultClient, "/write/", fmt.Sprint("u", caller, strings.Repeat("x", n%3))) == http.StatusOK {
+					whole.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	assert.Equal(t, whole.Load(), int64(callers*requests))
+}
