soak: a target that ends is replaced by one of its service

Traced in the log of an entry instance: of the plain service nine targets ended and five started, since replacements alternate between the services; with the last crash none was left, and requests were refused rightly (549 with 2004). The list had been balanced by chance as long as few targets ended; three crash now in one fault.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -219,12 +219,13 @@
 // crashTarget stops a target without notice and starts another one.
 func (c *faultInjector) crashTarget(_ context.Context, _ time.Duration, n int) {
 	defer c.history.beginFault(allTargets, false)()
-	if t := c.removeTarget(n); n/c.size.Targets%2 == 0 {
+	t := c.removeTarget(n)
+	if n/c.size.Targets%2 == 0 {
 		t.crash()
 	} else {
 		t.abort()
 	}
-	c.replaceTarget()
+	c.replaceTarget(t)
 }
 
 // drainTarget starts another target and stops one as planned, even if ctx ends
@@ -232,7 +233,7 @@
 func (c *faultInjector) drainTarget(ctx context.Context, _ time.Duration, n int) {
 	defer c.history.beginFault(allTargets, true)()
 	t := c.removeTarget(n)
-	c.replaceTarget()
+	c.replaceTarget(t)
 	t.drainAndStop(context.WithoutCancel(ctx))
 }
 
@@ -242,7 +243,7 @@
 	ctx = context.WithoutCancel(ctx)
 	defer c.history.beginFault(allTargets, true)()
 	t := c.removeTarget(n)
-	c.replaceTarget()
+	c.replaceTarget(t)
 	t.statements.sayLeaving()
 	sleep(ctx, 2*drainDuration)
 	first, now := t.statements.first(), time.Now()
@@ -311,8 +312,11 @@
 	}
 }
 
-func (c *faultInjector) replaceTarget() {
-	if _, err := c.addTarget(); err != nil {
+// replaceTarget starts a target of the same service: neither may run out of targets.
+func (c *faultInjector) replaceTarget(t *target) {
+	c.deployment.mu.Lock()
+	defer c.deployment.mu.Unlock()
+	if _, err := c.addTargetOf(t.self.Service); err != nil {
 		c.violation("start a target: %v", err)
 	}
 }
