--- a/internal/forward/companion_test.go
+++ b/internal/forward/companion_test.go
@@ -27,10 +27,16 @@
 	m := &mortal{t: t}
 	m.fakeTarget = &fakeTarget{id: "i1", respond: func(r seenRequest, c net.Conn) { respond(m, r, c) }}
 	m.listen("127.0.0.1:0")
-	t.Cleanup(func() { m.listener.Close() })
+	t.Cleanup(m.stopListening)
 	return m
 }
 
+func (m *mortal) stopListening() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = m.listener.Close() // fails only if the process has ended
+}
+
 func (m *mortal) listen(address string) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
@@ -103,7 +109,7 @@
 				_, _ = io.WriteString(c, events(1, 2))
 				time.Sleep(200 * time.Millisecond)
 				if stopsListening {
-					_ = m.listener.Close()
+					m.stopListening()
 				}
 				for until := time.Now().Add(4 * companionAge); time.Now().Before(until) && !stopsListening; time.Sleep(50 * time.Millisecond) {
 					m.closeIdle(c, idleTimeout)
