forward: a refused request gives its buffer space back before the rest of its body is read

Last reading: reading on after a refusal (netconn.DiscardBody) came before the deferred release, so that a refused body of unknown length kept up to its limit for up to 2 s, and others were refused for want of room. TestRefusedBodyTakesNoBufferSpace failed before (1001 bytes for 0).

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -190,6 +190,7 @@
 	defer space.release()
 	q, err := f.acceptRequest(w, r, arrived, space)
 	if err != nil {
+		space.release() // what is left of the body is read without it
 		f.writeError(w, r, q, err)
 		return
 	}
--- a/internal/forward/refused_body_test.go
+++ b/internal/forward/refused_body_test.go
@@ -54,3 +54,20 @@
 		}
 	}
 }
+
+// Guards against buffer space that a refused request keeps while the rest of its body, which
+// nobody needs any more, is read: others are refused for want of room.
+func TestRefusedBodyTakesNoBufferSpace(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "core", newFakeTarget(t, "i1", respondsWith(200, "")))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /write/ HTTP/1.1\r\nHost: h\r\nT-Id: a\r\nT-Key: key\r\nT-Deadline: 5000\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", 2000, strings.Repeat("x", 2000))
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond) // the body is larger than the limit by now, and has not ended
+	for until := time.Now().Add(time.Second); f.bufferedBytesNow() > 0 && time.Now().Before(until); { // less than it is read on
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, f.bufferedBytesNow(), int64(0))
+}
