entry: a permit that may be used is checked once

Last reading: checkStatements asked twice whether the target leaves, once for each dispatch. The second question is for refused permits only. No change of behaviour.

--- a/internal/entry/command/statements.go
+++ b/internal/entry/command/statements.go
@@ -77,8 +77,9 @@
 // leaves does not know it yet, for instance since it became the owner later.
 func (s *Service) checkStatements(held *permit.HeldPermit) error {
 	now := time.Now()
-	if s.Acquirer.IsLeaving(held.Shard, held.Permit, now) {
+	err := s.Acquirer.CheckStatements(held.Shard, held.Permit, now)
+	if err != nil && s.Acquirer.IsLeaving(held.Shard, held.Permit, now) {
 		s.tellLeaving(held.Shard, held.Permit)
 	}
-	return s.Acquirer.CheckStatements(held.Shard, held.Permit, now)
+	return err
 }
