--- a/internal/forward/refused_body_test.go
+++ b/internal/forward/refused_body_test.go
@@ -65,8 +65,10 @@
 	defer conn.Close()
 	_, err = fmt.Fprintf(conn, "POST /write/ HTTP/1.1\r\nHost: h\r\nT-Id: a\r\nT-Key: key\r\nT-Deadline: 5000\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", 2000, strings.Repeat("x", 2000))
 	assert.NilError(t, err)
-	time.Sleep(100 * time.Millisecond) // the body is larger than the limit by now, and has not ended
-	for until := time.Now().Add(time.Second); f.bufferedBytesNow() > 0 && time.Now().Before(until); { // less than it is read on
+	// The body is soon larger than the limit, and does not end; it is read on for longer than
+	// the second of this loop.
+	time.Sleep(100 * time.Millisecond)
+	for until := time.Now().Add(time.Second); f.bufferedBytesNow() > 0 && time.Now().Before(until); {
 		time.Sleep(10 * time.Millisecond)
 	}
 	assert.Equal(t, f.bufferedBytesNow(), int64(0))
